--- /dev/null
+++ b/home/home.go
@@ -0,0 +1,93 @@
+// Package home owns the decisions of a service's home: the one entry host that
+// counts the slots of the service's backend servers exactly, keeps the queue
+// of legs, places each on a server, hedges and retries. It is pure: time is
+// passed in, and what is to be done comes back as actions, so that all of it
+// runs in tests without sockets.
+//
+// Two hosts may believe to be the home at once while their views differ. That
+// over-commits the servers for a moment, and they shed; no promise leans on it.
+package home
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// LegID names a leg at this home.
+type LegID uint64
+
+// Leg is one shard's part of a request.
+type Leg struct {
+	ID          LegID
+	Request     ident.RequestID // breaks ties between equal deadlines
+	Class       int             // position in the bundle's classes
+	Caller      string
+	Deadline    time.Time
+	Idempotent  bool
+	Fingerprint uint64
+	Bytes       int // of the body, for the bound of the queue
+}
+
+// ActionKind says what the shell has to do.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// ActionStart: send the leg to Server as Attempt.
+	ActionStart ActionKind = iota
+	// ActionCancel: cancel Attempt; its end is still reported through Finish.
+	ActionCancel
+	// ActionAnswer: Attempt's reply is the leg's answer; the leg is done.
+	ActionAnswer
+	// ActionFail: the leg is done without an answer, see Code and Outcome.
+	ActionFail
+)
+
+// Action is one thing for the shell to do, in the order given.
+type Action struct {
+	Kind       ActionKind
+	Leg        LegID
+	Attempt    ident.AttemptID
+	Server     string // name of the backend server
+	Hedge      bool   // ActionStart: the attempt is a hedge
+	Retry      bool   // ActionStart: the attempt is a retry
+	Code       result.Code
+	Outcome    result.Outcome // of the whole leg: NotRun only if every attempt was
+	RetryAfter time.Duration
+}
+
+// End is how an attempt ended, as its reply or its failure told.
+type End struct {
+	Outcome    result.Outcome
+	Fault      backend.Fault
+	Load       backend.Load // valid when HasLoad
+	HasLoad    bool
+	RetryAfter time.Duration
+}
+
+// ServerSpec is a backend server of the home's service.
+type ServerSpec struct {
+	Name        string
+	Incarnation uint64
+	SameZone    bool
+	Leaving     bool
+}
+
+// ClassSpec is a class as the home needs it.
+type ClassSpec struct {
+	ReservedShare float64
+	MaxQueue      int
+}
+
+// Config holds the limits of one home.
+type Config struct {
+	Service        string
+	SlotsPerServer int
+	Classes        []ClassSpec
+	HedgeBudget    float64 // extra attempts per leg
+	HedgeQuantile  float64
+	RetryBudget    float64 // retries per leg
+}
