--- /dev/null
+++ b/cli/root.go
@@ -0,0 +1,16 @@
+// Package cli owns the command line: one file for each command. The commands
+// only read arguments and print; the work is done by the library.
+package cli
+
+import "github.com/spf13/cobra"
+
+// NewRoot makes the goldcrestspan command with all its subcommands.
+func NewRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "goldcrestspan",
+		Short:         "A query tier over many index shards",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	return root
+}
