--- a/cli/root.go
+++ b/cli/root.go
@@ -12,5 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newSettingsCommand())
 	return root
 }
--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,197 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// decoder copies a YAML tree into a struct. The library's own strict mode
+// stops at the first unknown key; this one goes on, so that an operator mends
+// a file in one round, and it keeps where each key stands for the later checks.
+type decoder struct {
+	file      string
+	positions map[string]Position // of each key's value, by dotted path
+	problems  Problems
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+func (d *decoder) report(at Position, key, what, mend string) {
+	d.problems = append(d.problems, Problem{File: d.file, Position: at, Key: key, What: what, Mend: mend})
+}
+
+// value decodes one node into out, whose type is one of those in Settings.
+func (d *decoder) value(node ast.Node, key string, out reflect.Value) {
+	at := position(node)
+	d.positions[key] = at
+	if _, empty := node.(*ast.NullNode); empty {
+		d.report(at, key, "has no value", "give it one, or leave the key out")
+		return
+	}
+	switch {
+	case out.Type() == durationType:
+		d.duration(node, key, out)
+	case out.Kind() == reflect.Struct:
+		d.mapping(node, key, out)
+	case out.Kind() == reflect.Slice:
+		d.sequence(node, key, out)
+	default:
+		d.scalar(node, key, out)
+	}
+}
+
+func (d *decoder) mapping(node ast.Node, key string, out reflect.Value) {
+	pairs, ok := mappingPairs(node)
+	if !ok {
+		d.report(position(node), key, "must be a group of keys", "write its keys indented below it")
+		return
+	}
+	fields := fieldsByKey(out)
+	for _, pair := range pairs {
+		name := keyName(pair.Key)
+		path := join(key, name)
+		field, known := fields[name]
+		if !known {
+			d.report(position(pair.Key), path, "unknown key", suggestKey(name, fields))
+			continue
+		}
+		d.value(pair.Value, path, field)
+	}
+}
+
+func (d *decoder) sequence(node ast.Node, key string, out reflect.Value) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.report(position(node), key, "must be a list", "write each entry on a line that starts with a dash")
+		return
+	}
+	out.Set(reflect.MakeSlice(out.Type(), len(list.Values), len(list.Values)))
+	for i, entry := range list.Values {
+		d.value(entry, fmt.Sprintf("%s[%d]", key, i), out.Index(i))
+	}
+}
+
+func (d *decoder) scalar(node ast.Node, key string, out reflect.Value) {
+	switch out.Kind() {
+	case reflect.String:
+		d.text(node, key, out)
+	case reflect.Bool:
+		d.boolean(node, key, out)
+	default:
+		d.integer(node, key, out)
+	}
+}
+
+func (d *decoder) text(node ast.Node, key string, out reflect.Value) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		out.SetString(n.Value)
+	case *ast.LiteralNode:
+		out.SetString(n.Value.Value)
+	default:
+		d.report(position(node), key, "must be text", "put it in double quotes")
+	}
+}
+
+func (d *decoder) boolean(node ast.Node, key string, out reflect.Value) {
+	n, ok := node.(*ast.BoolNode)
+	if !ok {
+		d.report(position(node), key, "must be true or false", "write true or false, without quotes")
+		return
+	}
+	out.SetBool(n.Value)
+}
+
+func (d *decoder) integer(node ast.Node, key string, out reflect.Value) {
+	const mend = "write digits only, without quotes"
+	n, ok := node.(*ast.IntegerNode)
+	if !ok {
+		d.report(position(node), key, "must be a whole number", mend)
+		return
+	}
+	v, err := strconv.ParseInt(strings.ReplaceAll(n.Token.Value, "_", ""), 10, 64)
+	if err != nil || out.OverflowInt(v) {
+		d.report(position(node), key, fmt.Sprintf("%s is no decimal number in range", n.Token.Value), mend)
+		return
+	}
+	out.SetInt(v)
+}
+
+// duration refuses a bare number: read as nanoseconds, "timeout: 5" would
+// make every call fail at once.
+func (d *decoder) duration(node ast.Node, key string, out reflect.Value) {
+	const mend = `write a number and a unit, such as "250ms", "5s" or "1m"`
+	n, ok := node.(*ast.StringNode)
+	if !ok {
+		d.report(position(node), key, "must be a time with a unit", mend)
+		return
+	}
+	v, err := time.ParseDuration(n.Value)
+	if err != nil {
+		d.report(position(node), key, fmt.Sprintf("%q is not a time", n.Value), mend)
+		return
+	}
+	out.SetInt(int64(v))
+}
+
+func mappingPairs(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	default:
+		return nil, false
+	}
+}
+
+func fieldsByKey(out reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, out.NumField())
+	for i := range out.NumField() {
+		fields[yamlName(out.Type().Field(i))] = out.Field(i)
+	}
+	return fields
+}
+
+func yamlName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
+func keyName(key ast.MapKeyNode) string {
+	if tk := key.GetToken(); tk != nil {
+		return tk.Value
+	}
+	return key.String()
+}
+
+func position(node ast.Node) Position {
+	tk := node.GetToken()
+	if m, ok := node.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		tk = m.Values[0].Key.GetToken()
+	}
+	if m, ok := node.(*ast.MappingValueNode); ok {
+		tk = m.Key.GetToken()
+	}
+	return tokenPosition(tk)
+}
+
+func tokenPosition(tk *token.Token) Position {
+	if tk == nil || tk.Position == nil {
+		return Position{Line: 1, Column: 1}
+	}
+	return Position{Line: tk.Position.Line, Column: tk.Position.Column}
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
