--- a/backend/backend.go
+++ b/backend/backend.go
@@ -50,6 +50,9 @@
 	Snapshot    snapshot.Version
 	Load        Load
 	Incarnation uint64
+	// Held are the snapshots of the call's index that the server holds, newest
+	// first, if it says so.
+	Held []snapshot.Version
 }
 
 // Fault says why an attempt gave no reply to use.
--- /dev/null
+++ b/homeserver/server.go
@@ -0,0 +1,169 @@
+// Package homeserver is the shell of the homes: it runs the decisions of
+// package home for each service this host is home of, sends the attempts to
+// the backend servers, and gives each leg its one result.
+package homeserver
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// Counter counts what the homes decide; the observe slice gives one.
+type Counter interface {
+	Attempt(service string, hedge, retry bool)
+	AttemptEnd(service string, fault backend.Fault)
+	Cancelled(service string)
+}
+
+// Watcher hears what attempts tell of backend servers.
+type Watcher interface {
+	// Ended is called after each attempt, with the fingerprints of the
+	// requests that were in flight on the server at that moment.
+	Ended(server backend.Server, attempt backend.Attempt, inFlight []uint64)
+}
+
+// Server runs the homes of this host. Its methods are safe for concurrent use.
+type Server struct {
+	runner  backend.Runner
+	counter Counter
+	watcher Watcher
+	now     func() time.Time
+
+	mu       sync.RWMutex
+	services map[string]*service
+	known    map[string][]Known // by service, also of those not yet in use
+	config   *bundle.Config
+	nextHome uint64
+	nextLeg  atomic.Uint64
+}
+
+// Known is a backend server as the control goroutine knows it.
+type Known struct {
+	Server   backend.Server
+	SameZone bool
+	Leaving  bool
+}
+
+// New makes a server without homes; they come into being with their first leg.
+func New(runner backend.Runner, counter Counter, watcher Watcher, now func() time.Time) *Server {
+	return &Server{
+		runner:   runner,
+		counter:  counter,
+		watcher:  watcher,
+		now:      now,
+		services: make(map[string]*service),
+		known:    make(map[string][]Known),
+	}
+}
+
+// Configure puts a configuration in force. Homes whose limits changed start
+// anew; what runs in the old ones runs to its end.
+func (s *Server) Configure(config *bundle.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil || !sameLimits(s.config, config) {
+		s.services = make(map[string]*service)
+	}
+	s.config = config
+}
+
+// SetServers tells which backend servers each service has.
+func (s *Server) SetServers(known map[string][]Known) {
+	s.mu.Lock()
+	s.known = known
+	open := make([]*service, 0, len(s.services))
+	for _, svc := range s.services {
+		open = append(open, svc)
+	}
+	s.mu.Unlock()
+	for _, svc := range open {
+		svc.setServers(known[svc.name])
+	}
+}
+
+// Run runs a leg at this host's home of its service; see leg.Runner.
+func (s *Server) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
+	svc, class, failure := s.service(request)
+	if failure != nil {
+		done(*failure)
+		return func() {}
+	}
+	id := home.LegID(s.nextLeg.Add(1))
+	svc.submit(id, class, request, done)
+	return func() { svc.cancel(id) }
+}
+
+func (s *Server) service(request leg.Request) (*service, int, *leg.Result) {
+	s.mu.RLock()
+	svc, config := s.services[request.Service], s.config
+	s.mu.RUnlock()
+	if config == nil {
+		return nil, 0, refused(request, result.NotReady, "no configuration yet")
+	}
+	_, class, ok := config.Class(request.Class)
+	if !ok {
+		return nil, 0, refused(request, result.BadRequest, "unknown class "+request.Class)
+	}
+	if svc == nil {
+		svc = s.open(request.Service)
+	}
+	if svc == nil {
+		return nil, 0, refused(request, result.NoBackend, "unknown service "+request.Service)
+	}
+	return svc, class, nil
+}
+
+func refused(request leg.Request, code result.Code, detail string) *leg.Result {
+	r := leg.Failed(request, code, result.OutcomeUnsent, detail)
+	return &r
+}
+
+// attemptsPerHome spaces the attempt ids of homes, so that no two attempts of
+// this host ever share one.
+const attemptsPerHome = 1 << 40
+
+func (s *Server) open(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc := s.services[name]; svc != nil {
+		return svc
+	}
+	spec, ok := s.config.Service(name)
+	if !ok {
+		return nil
+	}
+	s.nextHome++
+	first := ident.AttemptID(s.nextHome * attemptsPerHome)
+	svc := newService(s, name, home.New(homeConfig(s.config, spec), first))
+	s.services[name] = svc
+	svc.setServers(s.known[name])
+	return svc
+}
+
+func homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
+	classes := make([]home.ClassSpec, len(config.Classes))
+	for i, class := range config.Classes {
+		classes[i] = home.ClassSpec{ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
+	}
+	return home.Config{
+		Service:        spec.Name,
+		SlotsPerServer: spec.SlotsPerServer,
+		Classes:        classes,
+		HedgeBudget:    config.Policy.HedgeBudget,
+		HedgeQuantile:  config.Policy.HedgeQuantile,
+		RetryBudget:    config.Policy.RetryBudget,
+	}
+}
+
+// Run context of attempts: they end by their deadline or by a cancel of the
+// home, never because the goroutine that submitted the leg has gone.
+var background = context.Background()
--- /dev/null
+++ b/homeserver/service.go
@@ -0,0 +1,258 @@
+package homeserver
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// service runs one home: the mutex makes its decisions one at a time.
+type service struct {
+	server *Server
+	name   string
+
+	mu       sync.Mutex
+	home     *home.Home
+	acts     []home.Action // reused between decisions
+	legs     map[home.LegID]*openLeg
+	attempts map[ident.AttemptID]*openAttempt
+	servers  map[string]backend.Server
+	timer    *time.Timer
+	due      time.Time // when timer fires; zero: not set
+}
+
+type openLeg struct {
+	request  leg.Request
+	done     func(leg.Result)
+	attempts int
+	hedges   int
+}
+
+type openAttempt struct {
+	server      string
+	fingerprint uint64
+	cancel      context.CancelFunc
+	end         backend.Attempt
+}
+
+// ending is a leg's result that is handed out after the mutex is released, so
+// that a done function may call back into the server.
+type ending struct {
+	done   func(leg.Result)
+	result leg.Result
+}
+
+func newService(server *Server, name string, h *home.Home) *service {
+	return &service{
+		server:   server,
+		name:     name,
+		home:     h,
+		legs:     make(map[home.LegID]*openLeg),
+		attempts: make(map[ident.AttemptID]*openAttempt),
+		servers:  make(map[string]backend.Server),
+	}
+}
+
+func (s *service) submit(id home.LegID, class int, request leg.Request, done func(leg.Result)) {
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		s.legs[id] = &openLeg{request: request, done: done}
+		return s.home.Submit(now, home.Leg{
+			ID:          id,
+			Request:     request.Request,
+			Class:       class,
+			Caller:      request.Caller,
+			Deadline:    request.Deadline,
+			Idempotent:  request.Idempotent,
+			Fingerprint: request.Fingerprint,
+			Bytes:       len(request.Body),
+		}, acts)
+	})
+}
+
+func (s *service) cancel(id home.LegID) {
+	var gone *openLeg
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		gone = s.legs[id]
+		delete(s.legs, id)
+		return s.home.Cancel(now, id, acts)
+	})
+	if gone == nil {
+		return
+	}
+	s.server.counter.Cancelled(s.name)
+	outcome := result.OutcomeUnsent
+	if gone.attempts > 0 {
+		outcome = result.OutcomeUnknown
+	}
+	gone.done(leg.Failed(gone.request, result.Cancelled, outcome, "cancelled"))
+}
+
+func (s *service) setServers(known []Known) {
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		specs := make([]home.ServerSpec, len(known))
+		servers := make(map[string]backend.Server, len(known))
+		for i, k := range known {
+			servers[k.Server.Name] = k.Server
+			specs[i] = home.ServerSpec{
+				Name:        k.Server.Name,
+				Incarnation: k.Server.Incarnation,
+				SameZone:    k.SameZone,
+				Leaving:     k.Leaving,
+			}
+		}
+		s.servers = servers
+		return s.home.SetServers(now, specs, acts)
+	})
+}
+
+func (s *service) tick() {
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		s.due = time.Time{}
+		return s.home.Tick(now, acts)
+	})
+}
+
+// decide makes one decision under the mutex, carries out its actions and then,
+// without the mutex, hands out the results of legs that ended.
+func (s *service) decide(decision func(time.Time, []home.Action) []home.Action) {
+	s.mu.Lock()
+	s.acts = decision(s.server.now(), s.acts[:0])
+	endings := s.carryOut(s.acts)
+	s.setTimer()
+	s.mu.Unlock()
+	for _, e := range endings {
+		e.done(e.result)
+	}
+}
+
+func (s *service) carryOut(acts []home.Action) []ending {
+	var endings []ending
+	for _, act := range acts {
+		switch act.Kind {
+		case home.ActionStart:
+			s.start(act)
+		case home.ActionCancel:
+			if a := s.attempts[act.Attempt]; a != nil {
+				a.cancel()
+			}
+		case home.ActionAnswer, home.ActionFail:
+			if e, ok := s.end(act); ok {
+				endings = append(endings, e)
+			}
+		}
+	}
+	return endings
+}
+
+func (s *service) start(act home.Action) {
+	l := s.legs[act.Leg]
+	l.attempts++
+	if act.Hedge {
+		l.hedges++
+	}
+	s.server.counter.Attempt(s.name, act.Hedge, act.Retry)
+	ctx, cancel := context.WithDeadline(background, l.request.Deadline)
+	s.attempts[act.Attempt] = &openAttempt{
+		server:      act.Server,
+		fingerprint: l.request.Fingerprint,
+		cancel:      cancel,
+	}
+	call := backend.Call{
+		Request:    l.request.Request,
+		Attempt:    act.Attempt,
+		Service:    s.name,
+		Index:      l.request.Index,
+		Shard:      l.request.Shard,
+		Snapshot:   l.request.Snapshot,
+		Class:      l.request.Class,
+		Deadline:   l.request.Deadline,
+		Idempotent: l.request.Idempotent,
+		Body:       l.request.Body,
+	}
+	go s.run(ctx, s.servers[act.Server], call)
+}
+
+func (s *service) run(ctx context.Context, server backend.Server, call backend.Call) {
+	end := s.server.runner.Run(ctx, server, call)
+	s.server.counter.AttemptEnd(s.name, end.Fault)
+	var inFlight []uint64
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		inFlight = s.fingerprintsOn(server.Name)
+		s.attempts[call.Attempt].cancel()
+		s.attempts[call.Attempt].end = end
+		acts = s.home.Finish(now, call.Attempt, home.End{
+			Outcome:    end.Outcome,
+			Fault:      end.Fault,
+			Load:       end.Reply.Load,
+			HasLoad:    end.Fault == backend.FaultNone,
+			RetryAfter: end.RetryAfter,
+		}, acts)
+		return acts
+	})
+	s.mu.Lock()
+	delete(s.attempts, call.Attempt)
+	s.mu.Unlock()
+	s.server.watcher.Ended(server, end, inFlight)
+}
+
+// fingerprintsOn lists the requests in flight on a server.
+func (s *service) fingerprintsOn(server string) []uint64 {
+	var prints []uint64
+	for _, a := range s.attempts {
+		if a.server == server {
+			prints = append(prints, a.fingerprint)
+		}
+	}
+	return prints
+}
+
+func (s *service) end(act home.Action) (ending, bool) {
+	l, ok := s.legs[act.Leg]
+	if !ok {
+		return ending{}, false
+	}
+	delete(s.legs, act.Leg)
+	r := leg.Failed(l.request, act.Code, act.Outcome, "")
+	r.Attempts = l.attempts
+	r.Hedges = l.hedges
+	r.RetryAfter = act.RetryAfter
+	if act.Kind == home.ActionAnswer {
+		reply := s.attempts[act.Attempt].end.Reply
+		r.Code = 0
+		r.Snapshot = reply.Snapshot
+		r.Body = reply.Body
+		r.Digest = leg.Digest(reply.Body)
+		r.Held = reply.Held
+	}
+	return ending{done: l.done, result: r}, true
+}
+
+func (s *service) setTimer() {
+	next := s.home.NextTick()
+	if next.IsZero() || (!s.due.IsZero() && !next.Before(s.due)) {
+		return
+	}
+	s.due = next
+	wait := max(next.Sub(s.server.now()), 0)
+	if s.timer == nil {
+		s.timer = time.AfterFunc(wait, s.tick)
+		return
+	}
+	s.timer.Reset(wait)
+}
+
+// sameLimits reports whether homes can go on under the new configuration.
+func sameLimits(a, b *bundle.Config) bool {
+	if a.Policy != b.Policy || !reflect.DeepEqual(a.Classes, b.Classes) {
+		return false
+	}
+	return a.SameServices(b)
+}
--- /dev/null
+++ b/leg/leg.go
@@ -0,0 +1,70 @@
+// Package leg holds the messages between the root of a query and the homes of
+// its services: one shard's part of a request, and how it ended.
+package leg
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// Request asks the home of Service to run one shard's part of a request.
+type Request struct {
+	Request     ident.RequestID
+	Service     string
+	Index       string
+	Shard       snapshot.ShardID
+	Snapshot    snapshot.Version
+	Class       string
+	Caller      string
+	Deadline    time.Time // on the local clock; hops send the time left
+	Idempotent  bool
+	Fingerprint uint64 // of route, caller and body
+	Body        []byte
+}
+
+// Result is how a leg ended. Request and Shard are echoes, which the root
+// checks before it believes the rest.
+type Result struct {
+	Request  ident.RequestID
+	Shard    snapshot.ShardID
+	Snapshot snapshot.Version // that the backend server answered from
+	Outcome  result.Outcome   // of the whole leg: NotRun only if every attempt was
+	Code     result.Code      // why there is no answer; 0 when Body is the answer
+	Detail   string
+	Body     []byte
+	Digest   uint64 // of Body, made where the body was first received
+	// Held are the index's snapshots that the backend server holds, if it said so.
+	Held       []snapshot.Version
+	Attempts   int // sent to backend servers
+	Hedges     int // of these, hedges
+	RetryAfter time.Duration
+}
+
+// Usable reports whether the result carries an answer.
+func (r Result) Usable() bool { return r.Code == 0 && r.Outcome == result.OutcomeRan }
+
+// Runner runs legs. It calls done exactly once for each leg, from any
+// goroutine and possibly before Run returns; done must not block. The returned
+// function cancels the leg; done is still called.
+type Runner interface {
+	Run(request Request, done func(Result)) (cancel func())
+}
+
+// Digest is the checksum of a reply's body, by which a half reply is seen.
+func Digest(body []byte) uint64 { return xxhash.Sum64(body) }
+
+// Failed makes the result of a leg without an answer.
+func Failed(request Request, code result.Code, outcome result.Outcome, detail string) Result {
+	return Result{
+		Request: request.Request,
+		Shard:   request.Shard,
+		Code:    code,
+		Outcome: outcome,
+		Detail:  detail,
+	}
+}
--- /dev/null
+++ b/scatter/coordinator.go
@@ -0,0 +1,193 @@
+package scatter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// Homes tells where legs run. Both answers may be the local host.
+type Homes interface {
+	// Of returns the home of the service and the host that takes over when
+	// the home is lost; second is empty when there is none.
+	Of(service string) (first, second ident.HostID)
+	// Runner returns the way to a host; false when it isn't known any more.
+	Runner(host ident.HostID) (leg.Runner, bool)
+}
+
+// Counter counts what became of the legs' results; the observe slice gives one.
+type Counter interface {
+	Verdict(v Verdict)
+	Failover()
+	Restart()
+}
+
+// Work is what every leg of a query has in common.
+type Work struct {
+	Plan
+	Index       string
+	Class       string
+	Caller      string
+	Fingerprint uint64
+	Body        []byte
+}
+
+// Coordinator runs queries. It holds no state between them.
+type Coordinator struct {
+	homes   Homes
+	counter Counter
+	now     func() time.Time
+	learn   func(service, index string, held []snapshot.Version)
+}
+
+// NewCoordinator makes a coordinator. learn is told which snapshots a
+// service's backend servers say that they hold.
+func NewCoordinator(homes Homes, counter Counter, now func() time.Time, learn func(service, index string, held []snapshot.Version)) *Coordinator {
+	return &Coordinator{homes: homes, counter: counter, now: now, learn: learn}
+}
+
+// run is one query under way: its state and its legs' cancel functions.
+type run struct {
+	c       *Coordinator
+	query   *Query
+	work    Work
+	results chan arrival
+	cancels []func()
+	moved   []bool // legs that went to the second home
+	maybe   []bool // of these, legs that may have run at the first
+	ended   atomic.Bool
+}
+
+type arrival struct {
+	position int
+	result   leg.Result
+}
+
+// homesPerLeg is how many homes a leg is sent to at most.
+const homesPerLeg = 2
+
+// Run runs the query and returns its one answer, at the latest at the cut-off
+// time or when ctx ends. Legs that are still under way are cancelled then.
+func (c *Coordinator) Run(ctx context.Context, work Work) *Answer {
+	shards := work.Snapshot.Shards
+	r := &run{
+		c:       c,
+		query:   NewQuery(work.Plan),
+		work:    work,
+		results: make(chan arrival, homesPerLeg*len(shards)),
+		cancels: make([]func(), len(shards)),
+		moved:   make([]bool, len(shards)),
+		maybe:   make([]bool, len(shards)),
+	}
+	timer := time.NewTimer(CutOff(c.now(), work.Deadline, work.Prefer).Sub(c.now()))
+	defer timer.Stop()
+	for i := range shards {
+		first, _ := c.homes.Of(shards[i].Service)
+		r.send(i, first)
+	}
+	for r.query.Answer() == nil {
+		select {
+		case a := <-r.results:
+			r.take(a)
+		case <-timer.C:
+			r.query.Expire()
+		case <-ctx.Done():
+			r.query.Abandon()
+		}
+	}
+	r.ended.Store(true)
+	r.cancelRest()
+	return r.query.Answer()
+}
+
+func (r *run) send(i int, host ident.HostID) {
+	request := r.request(i)
+	runner, ok := r.c.homes.Runner(host)
+	if !ok {
+		r.results <- arrival{i, leg.Failed(request, result.HomeUnavailable, result.OutcomeUnsent, "no home for the service")}
+		return
+	}
+	r.cancels[i] = runner.Run(request, func(res leg.Result) { r.arrive(i, res) })
+}
+
+// arrive is called by runners, on their goroutines. The channel has room for
+// every result there can be, so it never blocks.
+func (r *run) arrive(i int, res leg.Result) {
+	if r.ended.Load() {
+		r.c.counter.Verdict(VerdictLate)
+		return
+	}
+	r.results <- arrival{i, res}
+}
+
+func (r *run) request(i int) leg.Request {
+	shard := r.work.Snapshot.Shards[i]
+	return leg.Request{
+		Request:     r.work.Request,
+		Service:     shard.Service,
+		Index:       r.work.Index,
+		Shard:       shard.ID,
+		Snapshot:    r.work.Snapshot.Version,
+		Class:       r.work.Class,
+		Caller:      r.work.Caller,
+		Deadline:    r.work.Deadline,
+		Idempotent:  r.work.Idempotent,
+		Fingerprint: r.work.Fingerprint,
+		Body:        r.work.Body,
+	}
+}
+
+func (r *run) take(a arrival) {
+	if len(a.result.Held) > 0 {
+		r.c.learn(r.work.Snapshot.Shards[a.position].Service, r.work.Index, a.result.Held)
+	}
+	if r.failOver(a) {
+		return
+	}
+	if r.maybe[a.position] && a.result.Outcome.NotRun() {
+		// The first home was lost with the leg in its hands: it may have run
+		// there, so the second home's "not run" does not hold for the leg.
+		a.result.Outcome = result.OutcomeUnknown
+	}
+	r.c.counter.Verdict(r.query.Take(a.result))
+}
+
+// failOver sends a leg to the second home when the first one is lost.
+//
+// Failure: an entry host dies while it is home of a service; every query's leg
+// there would be missing until membership has noticed, seconds later. It shows
+// as HomeUnavailable. The guard holds because it moves a leg once only, and a
+// leg that may have run only if it is idempotent; both homes at once
+// over-commit the backend servers for a moment, and they shed.
+func (r *run) failOver(a arrival) bool {
+	if a.result.Code != result.HomeUnavailable || r.moved[a.position] {
+		return false
+	}
+	if !a.result.Outcome.NotRun() && !r.work.Idempotent {
+		return false
+	}
+	_, second := r.c.homes.Of(r.work.Snapshot.Shards[a.position].Service)
+	if second == "" {
+		return false
+	}
+	r.moved[a.position] = true
+	r.maybe[a.position] = !a.result.Outcome.NotRun()
+	r.c.counter.Failover()
+	r.send(a.position, second)
+	return true
+}
+
+// cancelRest cancels what is under way. Cancelling a leg that has ended does
+// nothing; results that still come are left in the channel and dropped with it.
+func (r *run) cancelRest() {
+	for _, cancel := range r.cancels {
+		if cancel != nil {
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/scatter/cutoff.go
@@ -0,0 +1,40 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+)
+
+const (
+	// latencyReserve is the part of a latency route's time that is kept for
+	// the way back to the caller.
+	latencyReserve = 0.10
+	// coverageReserve is the same for a coverage route, which spends nearly
+	// all its time on the last shards.
+	coverageReserve = 0.04
+	// minReserve covers writing the answer and one way to a client: the
+	// users' longest is 3 ms.
+	minReserve = 4 * time.Millisecond
+	// maxReserve bounds the reserve of long deadlines.
+	maxReserve = 100 * time.Millisecond
+)
+
+// CutOff is when a query answers with what it has, so that the answer is with
+// the caller before its deadline.
+//
+// Load: one straggler among 20 to 92 shards decides most answers' latency.
+// Harm prevented: an answer that comes after the deadline is lost work, and a
+// screen that gets nothing shows nothing. Limits: a latency route keeps 10% of
+// the time for the way back, a coverage route 4%; never under 4 ms, one way to
+// the users' farthest clients and the writing, and never over 100 ms.
+func CutOff(now, deadline time.Time, prefer bundle.Prefer) time.Time {
+	share := latencyReserve
+	if prefer == bundle.PreferCoverage {
+		share = coverageReserve
+	}
+	left := deadline.Sub(now)
+	reserve := time.Duration(share * float64(left))
+	reserve = min(max(reserve, minReserve), maxReserve)
+	return deadline.Add(-reserve)
+}
--- /dev/null
+++ b/scatter/query.go
@@ -0,0 +1,319 @@
+// Package scatter owns a query from its pinned snapshot to its one answer: it
+// spreads the legs over the homes of the services, takes the replies in, and
+// says truly what the answer covers.
+package scatter
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// Verdict says what became of a leg's result.
+type Verdict uint8
+
+// The verdicts. Only VerdictAccepted changes the answer.
+const (
+	VerdictAccepted  Verdict = iota
+	VerdictFailed            // counted as a missing shard
+	VerdictLate              // the query has answered already
+	VerdictDuplicate         // the shard was settled already
+	VerdictCrossed           // another request's or an unknown shard's reply
+	VerdictMixed             // from another snapshot than the pinned one
+	VerdictCorrupt           // the body does not match its digest
+)
+
+// String names the verdict as metrics do.
+func (v Verdict) String() string {
+	return [...]string{"accepted", "failed", "late", "duplicate", "crossed", "mixed", "corrupt"}[v]
+}
+
+// Plan is what a query is asked to do; it does not change while it runs.
+type Plan struct {
+	Request  ident.RequestID
+	Snapshot *snapshot.Snapshot
+	Deadline time.Time
+	// LeastCoverage, 0 to 1, below which there is no answer.
+	LeastCoverage float64
+	Prefer        bundle.Prefer
+	Idempotent    bool
+	// Restartable ends the query as soon as a replica lacks the snapshot, so
+	// that the whole of it starts again on another one.
+	Restartable bool
+}
+
+// Part is one shard's body in an answer.
+type Part struct {
+	Shard snapshot.ShardID
+	Body  []byte
+}
+
+// Missing is one shard that an answer lacks, and why.
+type Missing struct {
+	Shard   snapshot.ShardID
+	Service string
+	Code    result.Code
+	Detail  string
+}
+
+// Answer is the one terminal result of a query. Its coverage is len(Parts) of
+// Total: it is counted from the accepted replies, never declared.
+type Answer struct {
+	Request    ident.RequestID
+	Code       result.Code
+	Detail     string
+	Snapshot   *snapshot.Snapshot
+	Total      int
+	Parts      []Part
+	Missing    []Missing
+	Attempts   int
+	Hedges     int
+	RetryAfter time.Duration
+}
+
+type shardState struct {
+	settled bool
+	answer  bool
+	body    []byte
+	code    result.Code
+	detail  string
+	outcome result.Outcome
+	retry   time.Duration
+}
+
+// Query is the state of one running query. It is pure and not safe for
+// concurrent use; its Coordinator owns it.
+type Query struct {
+	plan     Plan
+	position map[snapshot.ShardID]int
+	shards   []shardState
+	open     int
+	have     int
+	attempts int
+	hedges   int
+	stale    bool // a replica lacks the snapshot, and the query may restart
+	answer   *Answer
+}
+
+// NewQuery starts a query on its pinned snapshot, which has been validated.
+func NewQuery(plan Plan) *Query {
+	q := &Query{
+		plan:     plan,
+		position: make(map[snapshot.ShardID]int, len(plan.Snapshot.Shards)),
+		shards:   make([]shardState, len(plan.Snapshot.Shards)),
+		open:     len(plan.Snapshot.Shards),
+	}
+	for i, shard := range plan.Snapshot.Shards {
+		q.position[shard.ID] = i
+	}
+	return q
+}
+
+// Answer returns the terminal answer, or nil while the query runs.
+func (q *Query) Answer() *Answer { return q.answer }
+
+// Take takes in one leg's result. A reply counts only if it echoes this
+// request and one of its open shards, its body is whole, and it was made from
+// the pinned snapshot; anything else is dropped and named by the verdict.
+func (q *Query) Take(r leg.Result) Verdict {
+	i, known := q.position[r.Shard]
+	if r.Request != q.plan.Request || !known {
+		return VerdictCrossed
+	}
+	if q.answer != nil {
+		return VerdictLate
+	}
+	shard := &q.shards[i]
+	if shard.settled {
+		return VerdictDuplicate
+	}
+	q.attempts += r.Attempts
+	q.hedges += r.Hedges
+	verdict := q.judge(r)
+	shard.settled = true
+	q.open--
+	if verdict == VerdictAccepted {
+		shard.answer = true
+		shard.body = r.Body
+		q.have++
+	} else {
+		q.fail(shard, r, verdict)
+	}
+	q.finishIfDecided()
+	return verdict
+}
+
+func (q *Query) judge(r leg.Result) Verdict {
+	switch {
+	case !r.Usable():
+		return VerdictFailed
+	case r.Snapshot != q.plan.Snapshot.Version:
+		return VerdictMixed
+	case leg.Digest(r.Body) != r.Digest:
+		return VerdictCorrupt
+	default:
+		return VerdictAccepted
+	}
+}
+
+func (q *Query) fail(shard *shardState, r leg.Result, verdict Verdict) {
+	shard.code = r.Code
+	shard.detail = r.Detail
+	shard.outcome = r.Outcome
+	shard.retry = r.RetryAfter
+	if verdict == VerdictMixed {
+		shard.code = result.SnapshotGone
+		shard.detail = "answered from another snapshot"
+	}
+	q.stale = q.stale || q.plan.Restartable && shard.code == result.SnapshotGone
+	if verdict == VerdictCorrupt {
+		shard.code = result.OutcomeNotKnown
+		shard.detail = "the reply was not whole"
+	}
+}
+
+// Expire ends the query at its cut-off with what is there. A leg that is
+// still open may run or have run, so its outcome is unknown.
+func (q *Query) Expire() {
+	q.closeOpen(result.DeadlineExceeded, "no reply in time")
+	q.finish()
+}
+
+// Abandon ends the query because its caller went away.
+func (q *Query) Abandon() {
+	if q.answer != nil {
+		return
+	}
+	q.closeOpen(result.Cancelled, "the caller went away")
+	q.finish()
+	q.answer.Code = result.Cancelled
+}
+
+func (q *Query) closeOpen(code result.Code, detail string) {
+	if q.answer != nil {
+		return
+	}
+	for i := range q.shards {
+		shard := &q.shards[i]
+		if shard.settled {
+			continue
+		}
+		shard.settled = true
+		shard.code = code
+		shard.detail = detail
+		shard.outcome = result.OutcomeUnknown
+	}
+	q.open = 0
+}
+
+// finishIfDecided ends the query when nothing is open, and also as soon as the
+// least coverage is out of reach: a caller that can't get an answer is told at
+// once, not at its deadline, and the legs left over load nobody.
+func (q *Query) finishIfDecided() {
+	reachable := q.have + q.open
+	if q.open == 0 || q.stale || !q.covers(reachable) {
+		q.finish()
+	}
+}
+
+func (q *Query) covers(shards int) bool {
+	return shards > 0 && float64(shards) >= q.plan.LeastCoverage*float64(len(q.shards))
+}
+
+func (q *Query) finish() {
+	if q.answer != nil {
+		return
+	}
+	a := &Answer{
+		Request:  q.plan.Request,
+		Snapshot: q.plan.Snapshot,
+		Total:    len(q.shards),
+		Attempts: q.attempts,
+		Hedges:   q.hedges,
+	}
+	notRun := true
+	for i := range q.shards {
+		notRun = q.addShard(a, i) && notRun
+	}
+	q.answer = a
+	q.decideCode(a, notRun)
+}
+
+// addShard puts one shard into the answer and reports whether it surely ran nowhere.
+func (q *Query) addShard(a *Answer, i int) (notRun bool) {
+	shard := &q.shards[i]
+	spec := q.plan.Snapshot.Shards[i]
+	if shard.answer {
+		a.Parts = append(a.Parts, Part{Shard: spec.ID, Body: shard.body})
+		return false
+	}
+	missing := Missing{Shard: spec.ID, Service: spec.Service, Code: shard.code, Detail: shard.detail}
+	if !shard.settled {
+		// The least coverage was out of reach while this leg was under way.
+		missing.Code = result.Cancelled
+		missing.Detail = "given up: the least coverage is out of reach"
+	}
+	a.Missing = append(a.Missing, missing)
+	a.RetryAfter = max(a.RetryAfter, shard.retry)
+	return shard.settled && shard.outcome.NotRun()
+}
+
+// decideCode chooses the code of the whole answer. "Not run" is said only if
+// every attempt of every leg surely ran nowhere.
+func (q *Query) decideCode(a *Answer, notRun bool) {
+	switch {
+	case len(a.Missing) == 0:
+		a.Code = result.Complete
+	case q.stale:
+		a.Code = result.SnapshotGone
+	case q.covers(len(a.Parts)):
+		a.Code = result.Partial
+	case notRun:
+		a.Code = notRunCode(a.Missing)
+		a.Detail = a.Missing[0].Detail
+	case !q.plan.Idempotent:
+		a.Code = result.OutcomeNotKnown
+	case len(a.Parts) == 0 && allOf(a.Missing, result.DeadlineExceeded):
+		a.Code = result.DeadlineExceeded
+	case anyOf(a.Missing, result.SnapshotGone):
+		a.Code = result.SnapshotGone
+	default:
+		a.Code = result.CoverageTooLow
+	}
+	if a.Code.Group() != result.GroupComplete && a.Code.Group() != result.GroupPartial {
+		a.Parts = nil
+	}
+}
+
+// notRunCode is the code of a request that ran nowhere: the first missing
+// shard's own, if it claims no more than "not run".
+func notRunCode(missing []Missing) result.Code {
+	for _, m := range missing {
+		if m.Code.NotRun() {
+			return m.Code
+		}
+	}
+	return result.BackendsRefused
+}
+
+func anyOf(missing []Missing, code result.Code) bool {
+	for _, m := range missing {
+		if m.Code == code {
+			return true
+		}
+	}
+	return false
+}
+
+func allOf(missing []Missing, code result.Code) bool {
+	for _, m := range missing {
+		if m.Code != code {
+			return false
+		}
+	}
+	return true
+}
