--- /dev/null
+++ b/place/homes_test.go
@@ -0,0 +1,164 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/member"
+)
+
+var zones = []Location{{"jadran", "split-a"}, {"jadran", "split-b"}, {"jadran", "rijeka-c"}}
+
+func viewOf(hosts int) *member.View {
+	view := &member.View{Self: "entry-00"}
+	for i := range hosts {
+		at := zones[i%len(zones)]
+		view.Hosts = append(view.Hosts, member.Host{
+			ID: ident.HostID(fmt.Sprintf("entry-%02d", i)), Region: at.Region, Zone: at.Zone,
+		})
+	}
+	return view
+}
+
+func servicesOf(n int) []Service {
+	services := make([]Service, n)
+	for i := range services {
+		services[i] = Service{
+			Name:      fmt.Sprintf("booking-desk-%02d", i),
+			Locations: []Location{zones[i%3], zones[(i+1)%3]},
+		}
+	}
+	return services
+}
+
+func TestNoHostIsHomeOfMoreThanItsBound(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{1, 2, 6, 7, 40} {
+		homes := New(viewOf(hosts), servicesOf(50))
+		held := make(map[ident.HostID]int)
+		for _, s := range servicesOf(50) {
+			first, _ := homes.Of(s.Name)
+			held[first]++
+		}
+		for host, n := range held {
+			is.True(n <= maxServices(50, hosts)) // bound of host
+			is.True(host != "")
+		}
+	}
+}
+
+// A search stays local to two zones until one of them fails. If home and
+// second choice shared that zone, every leg of the service would fail until
+// the membership view changed.
+func TestSecondChoiceIsInAnotherZone(t *testing.T) {
+	is := is.New(t)
+	view := viewOf(7)
+	homes := New(view, servicesOf(50))
+	for _, s := range servicesOf(50) {
+		first, second := homes.Of(s.Name)
+		a, _ := view.Find(first)
+		b, _ := view.Find(second)
+		is.True(a.Zone != b.Zone)
+	}
+}
+
+func TestHomesStandNearTheServersMostly(t *testing.T) {
+	is := is.New(t)
+	view := viewOf(7)
+	homes := New(view, servicesOf(50))
+	near := 0
+	for _, s := range servicesOf(50) {
+		first, _ := homes.Of(s.Name)
+		host, _ := view.Find(first)
+		if host.Zone == s.Locations[0].Zone || host.Zone == s.Locations[1].Zone {
+			near++
+		}
+	}
+	is.True(near >= 45) // services of 50 whose home is in a zone of their servers
+}
+
+// An entry host is replaced while searches run. Every service whose home
+// changes loses its queue's measurements and its warm connections, so callers
+// see a slow second for those; services of other hosts should hardly move.
+func TestLosingAHostMovesFewOtherServices(t *testing.T) {
+	is := is.New(t)
+	services := servicesOf(50)
+	whole := viewOf(7)
+	before := New(whole, services)
+	for lost := range whole.Hosts {
+		view := viewOf(7)
+		view.Hosts[lost].State = member.StateDead
+		after := New(view, services)
+		others := 0
+		for _, s := range services {
+			was, _ := before.Of(s.Name)
+			got, _ := after.Of(s.Name)
+			is.True(got != whole.Hosts[lost].ID)
+			if was != whole.Hosts[lost].ID && got != was {
+				others++
+			}
+		}
+		is.True(others <= 10) // of 50
+	}
+}
+
+func TestOrderOfServicesDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	services := servicesOf(50)
+	reversed := make([]Service, len(services))
+	for i, s := range services {
+		reversed[len(services)-1-i] = s
+	}
+	a, b := New(viewOf(7), services), New(viewOf(7), reversed)
+	is.Equal(a.byService, b.byService)
+}
+
+func TestLeavingHostsAreNoHome(t *testing.T) {
+	is := is.New(t)
+	view := viewOf(3)
+	view.Hosts[1].State = member.StateLeaving
+	homes := New(view, servicesOf(20))
+	for _, s := range servicesOf(20) {
+		first, second := homes.Of(s.Name)
+		is.True(first != "entry-01" && second != "entry-01")
+	}
+	first, second := New(&member.View{}, servicesOf(1)).Of("booking-desk-00")
+	is.Equal(first, ident.HostID(""))
+	is.Equal(second, ident.HostID(""))
+}
+
+func TestCacheReplacesHomesOnlyWhenHostsChange(t *testing.T) {
+	is := is.New(t)
+	var cache Cache
+	services := servicesOf(20)
+	homes := cache.Homes(viewOf(5), services)
+
+	busier := viewOf(5)
+	busier.Hosts[2].LoadPermille = 900
+	is.True(cache.Homes(busier, services) == homes)
+
+	fewer := viewOf(5)
+	fewer.Hosts[2].State = member.StateDead
+	is.True(cache.Homes(fewer, services) != homes)
+}
+
+func BenchmarkNewAtTargetSize(b *testing.B) {
+	view := &member.View{}
+	for i := range 3400 {
+		at := Location{Region: fmt.Sprint(i % 2), Zone: fmt.Sprint(i % 8)}
+		view.Hosts = append(view.Hosts, member.Host{ID: ident.HostID(fmt.Sprintf("entry-%04d", i)), Region: at.Region, Zone: at.Zone})
+	}
+	services := make([]Service, 10500)
+	for i := range services {
+		services[i].Name = fmt.Sprintf("service-%05d", i)
+		for _, zone := range []int{i % 8, (i + 2) % 8} {
+			services[i].Locations = append(services[i].Locations, Location{Region: fmt.Sprint(zone % 2), Zone: fmt.Sprint(zone)})
+		}
+	}
+	for b.Loop() {
+		New(view, services)
+	}
+}
