--- a/cli/standin.go
+++ b/cli/standin.go
@@ -12,7 +12,7 @@
 	"github.com/goldcrestspan/goldcrestspan/standin"
 )
 
-func newStandin() *cobra.Command {
+func newStandinCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use:   "standin",
 		Short: "Run a stand-in of the platform or of a backend server",
