--- /dev/null
+++ b/booking/ticket.go
@@ -0,0 +1,107 @@
+// Package booking runs requests that are not idempotent at most once. A ticket
+// names the life of the entry host that issued it, and only that life, from its
+// memory, may run it. Nothing leans on a lease, a clock, the store or on hosts
+// agreeing: when the issuer is gone, the outcome is unknown, and says so.
+package booking
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+)
+
+const (
+	ticketFormat  = 1
+	macBytes      = 16
+	keyBytes      = 32
+	maxHostBytes  = 255
+	maxTicketText = 512
+	fixedBytes    = 1 + 1 + 8 + 8 + macBytes // format, length of the host, incarnation, sequence
+)
+
+var ticketEncoding = base64.RawURLEncoding
+
+// ticket is a ticket taken apart. Only its issuer can check the mac.
+type ticket struct {
+	host        ident.HostID
+	incarnation ident.Incarnation
+	sequence    uint64
+	mac         [macBytes]byte
+}
+
+// parseTicket reads the text of a ticket; it proves nothing about who made it.
+func parseTicket(text string) (ticket, error) {
+	var t ticket
+	if len(text) > maxTicketText {
+		return t, errors.New("the ticket is too long")
+	}
+	raw, err := ticketEncoding.DecodeString(text)
+	if err != nil || len(raw) < fixedBytes || raw[0] != ticketFormat {
+		return t, errors.New("the ticket can't be read")
+	}
+	hostLength := int(raw[1])
+	if len(raw) != fixedBytes+hostLength {
+		return t, errors.New("the ticket has the wrong length")
+	}
+	raw = raw[2:]
+	t.host = ident.HostID(raw[:hostLength])
+	raw = raw[hostLength:]
+	t.incarnation = ident.Incarnation(binary.BigEndian.Uint64(raw))
+	t.sequence = binary.BigEndian.Uint64(raw[8:])
+	copy(t.mac[:], raw[16:])
+	return t, nil
+}
+
+func (t ticket) text() string {
+	raw := make([]byte, 0, fixedBytes+len(t.host))
+	raw = append(raw, ticketFormat, byte(len(t.host)))
+	raw = append(raw, t.host...)
+	raw = binary.BigEndian.AppendUint64(raw, uint64(t.incarnation))
+	raw = binary.BigEndian.AppendUint64(raw, t.sequence)
+	raw = append(raw, t.mac[:]...)
+	return ticketEncoding.EncodeToString(raw)
+}
+
+// signer makes and checks the macs of one life of a host. Its key is drawn at
+// the start and never leaves the process: no later life, and no other host,
+// can make or accept a ticket of this one.
+type signer struct {
+	key [keyBytes]byte
+}
+
+func newSigner() *signer {
+	s := &signer{}
+	_, _ = rand.Read(s.key[:]) // documented never to fail
+	return s
+}
+
+// sign binds the ticket to a caller and a route.
+func (s *signer) sign(t ticket, caller, route string) [macBytes]byte {
+	message := make([]byte, 0, 128)
+	message = appendField(message, string(t.host))
+	message = binary.BigEndian.AppendUint64(message, uint64(t.incarnation))
+	message = binary.BigEndian.AppendUint64(message, t.sequence)
+	message = appendField(message, caller)
+	message = appendField(message, route)
+	mac := hmac.New(sha256.New, s.key[:])
+	mac.Write(message)
+	var sum [sha256.Size]byte
+	return [macBytes]byte(mac.Sum(sum[:0]))
+}
+
+func (s *signer) valid(t ticket, caller, route string) bool {
+	want := s.sign(t, caller, route)
+	return hmac.Equal(want[:], t.mac[:])
+}
+
+// appendField writes the length first, so that no two lists of fields look alike.
+func appendField(to []byte, field string) []byte {
+	to = binary.BigEndian.AppendUint32(to, uint32(len(field)))
+	return append(to, field...)
+}
