--- /dev/null
+++ b/rollout/pull.go
@@ -0,0 +1,210 @@
+package rollout
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/rollout/rolloutpb"
+)
+
+// errNotNewer: a peer was asked and had nothing newer.
+var errNotNewer = errors.New("peer has nothing newer")
+
+// puller gets one configuration: manifest, then the documents that differ. It
+// runs beside the control goroutine and changes none of the agent's state.
+type puller struct {
+	agent *Agent
+	have  *published
+	want  bundle.Ref
+	known *head
+	// address is a peer that should have it; empty: none is known.
+	address  string
+	useStore bool
+	contents bundle.Contents
+}
+
+func (a *Agent) newPuller(wanted hint, known *head, failures int) *puller {
+	p := &puller{
+		agent: a, have: a.published.Load(), want: wanted.ref, known: known,
+		address: wanted.from, contents: make(bundle.Contents),
+		// A host that has the manifest from the store is a watcher, or is
+		// starting: it may read the documents there.
+		useStore: known != nil || failures >= pullsBeforeStore,
+	}
+	if p.address == "" {
+		p.address = a.anyPeer()
+	}
+	return p
+}
+
+func (p *puller) run(ctx context.Context) pulled {
+	signed, err := p.manifest(ctx)
+	if err != nil {
+		return pulled{err: err}
+	}
+	return p.complete(ctx, signed)
+}
+
+// complete checks the sign-offs before it asks for a single document.
+func (p *puller) complete(ctx context.Context, signed bundle.Signed) pulled {
+	manifest, err := p.agent.config.Signers.Verify(signed)
+	if err != nil {
+		return p.refusal(signed, err)
+	}
+	ref := bundle.Ref{Generation: manifest.Generation, Hash: signed.Hash()}
+	if p.have != nil && ref.Generation <= p.have.ref.Generation && ref != p.want {
+		return pulled{err: errNotNewer}
+	}
+	if err := p.documents(ctx, manifest.Parts); err != nil {
+		return pulled{err: err, ref: ref}
+	}
+	config, _, err := bundle.Open(manifest, p.contents)
+	if err != nil {
+		return pulled{refused: true, ref: ref, err: err}
+	}
+	raw, err := signed.Encode()
+	if err != nil {
+		return pulled{refused: true, ref: ref, err: err}
+	}
+	return pulled{ref: ref, candidate: &candidate{
+		ref: ref, raw: raw, manifest: manifest, contents: p.only(manifest.Parts), config: config,
+	}}
+}
+
+// refusal names what was refused: what was wanted, unless the payload names
+// another. A wrong manifest under a good name must not get the good one refused.
+func (p *puller) refusal(signed bundle.Signed, err error) pulled {
+	ref, _, readErr := refOf(signed)
+	if readErr != nil {
+		return pulled{err: errors.Wrap(readErr, "unreadable manifest")}
+	}
+	return pulled{refused: true, ref: ref, err: err}
+}
+
+// manifest gets the signed manifest from the peer, or from the store.
+func (p *puller) manifest(ctx context.Context) (bundle.Signed, error) {
+	if p.known != nil {
+		p.take(p.known.contents())
+		return p.known.Signed, nil
+	}
+	signed, err := p.manifestFromPeer(ctx)
+	if err == nil || !p.useStore {
+		return signed, err
+	}
+	value, _, err := p.agent.readStoreHead(ctx)
+	if err != nil {
+		return bundle.Signed{}, err
+	}
+	p.take(value.contents())
+	return value.Signed, nil
+}
+
+func (p *puller) manifestFromPeer(ctx context.Context) (bundle.Signed, error) {
+	if p.address == "" {
+		return bundle.Signed{}, errors.New("no peer is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	request := &rolloutpb.HeadRequest{}
+	if p.have != nil {
+		request.Generation = p.have.ref.Generation
+		request.ManifestHash = p.have.ref.Hash[:]
+	}
+	reply, err := p.agent.client(ctx, p.address).Head(ctx, request)
+	if err != nil {
+		return bundle.Signed{}, errors.Wrap(err, "ask peer for its configuration")
+	}
+	if len(reply.GetManifest()) == 0 {
+		return bundle.Signed{}, errNotNewer
+	}
+	p.takeReply(reply.GetDocuments())
+	return bundle.DecodeSigned(reply.GetManifest())
+}
+
+// documents gets what is still missing: from the peer, then from the store.
+func (p *puller) documents(ctx context.Context, parts bundle.Parts) error {
+	if p.have != nil {
+		for _, hash := range parts.Missing(p.contents) {
+			if content, ok := p.have.contents[hash]; ok {
+				p.contents[hash] = content
+			}
+		}
+	}
+	err := p.documentsFromPeer(ctx, parts)
+	if err == nil || !p.useStore {
+		return err
+	}
+	return p.documentsFromStore(ctx, parts)
+}
+
+func (p *puller) documentsFromPeer(ctx context.Context, parts bundle.Parts) error {
+	for {
+		missing := parts.Missing(p.contents)
+		if len(missing) == 0 {
+			return nil
+		}
+		if p.address == "" {
+			return errors.New("no peer is known")
+		}
+		if err := p.askDocuments(ctx, missing); err != nil {
+			return err
+		}
+		if len(parts.Missing(p.contents)) == len(missing) {
+			return &bundle.MissingError{Hashes: missing}
+		}
+	}
+}
+
+func (p *puller) askDocuments(ctx context.Context, missing []bundle.Hash) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	request := &rolloutpb.DocumentsRequest{}
+	for i := range missing {
+		request.Hashes = append(request.Hashes, missing[i][:])
+	}
+	reply, err := p.agent.client(ctx, p.address).Documents(ctx, request)
+	if err != nil {
+		return errors.Wrap(err, "ask peer for documents")
+	}
+	p.takeReply(reply.GetDocuments())
+	return nil
+}
+
+func (p *puller) documentsFromStore(ctx context.Context, parts bundle.Parts) error {
+	for _, hash := range parts.Missing(p.contents) {
+		content, err := p.agent.readStoreDocument(ctx, hash)
+		if err != nil {
+			return err
+		}
+		p.contents[bundle.HashOf(content)] = content
+	}
+	if missing := parts.Missing(p.contents); len(missing) > 0 {
+		return &bundle.MissingError{Hashes: missing}
+	}
+	return nil
+}
+
+// takeReply files documents under the hash of what came, never under a hash
+// that the sender claims.
+func (p *puller) takeReply(documents []*rolloutpb.Document) {
+	for _, document := range documents {
+		p.contents[bundle.HashOf(document.GetContent())] = document.GetContent()
+	}
+}
+
+func (p *puller) take(contents bundle.Contents) {
+	for hash, content := range contents {
+		p.contents[hash] = content
+	}
+}
+
+// only drops documents that the manifest doesn't name, which a sender may add.
+func (p *puller) only(parts bundle.Parts) bundle.Contents {
+	contents := make(bundle.Contents)
+	for _, hash := range parts.All() {
+		contents[hash] = p.contents[hash]
+	}
+	return contents
+}
