--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -59,8 +59,11 @@
 	ready        atomic.Pointer[bundle.Config]
 	storeHeardAt atomic.Int64 // nanoseconds since 1970; 0: never
 	alarm        atomic.Pointer[string]
-	storeLimit   *rate.Limiter
-	serving      chan struct{}
+	// Limits of this host's calls to the store.
+	storeLimit    *rate.Limiter
+	documentLimit *rate.Limiter
+	fallbackLimit *rate.Limiter
+	serving       chan struct{}
 
 	// The rest belongs to the control goroutine.
 	core    Core
@@ -99,13 +102,15 @@
 		config.Logger = zap.NewNop()
 	}
 	a := &Agent{
-		config:     config,
-		metrics:    newMetrics(config.Registerer),
-		logger:     config.Logger.Named("rollout"),
-		events:     make(chan event, eventBuffer),
-		hints:      make(chan hint, eventBuffer),
-		storeLimit: rate.NewLimiter(storeCallsPerSecond, storeCallBurst),
-		serving:    make(chan struct{}, servedAtOnce),
+		config:        config,
+		metrics:       newMetrics(config.Registerer),
+		logger:        config.Logger.Named("rollout"),
+		events:        make(chan event, eventBuffer),
+		hints:         make(chan hint, eventBuffer),
+		storeLimit:    rate.NewLimiter(storeCallsPerSecond, storeCallBurst),
+		documentLimit: rate.NewLimiter(documentsPerSecond, documentsPerSecond),
+		fallbackLimit: rate.NewLimiter(rate.Every(fallbackEvery), fallbackBurst),
+		serving:       make(chan struct{}, servedAtOnce),
 	}
 	jitter := newLockedRand(config.Rand)
 	a.jitter = jitter.upTo
--- a/rollout/control.go
+++ b/rollout/control.go
@@ -32,10 +32,25 @@
 type pulled struct {
 	candidate *candidate
 	err       error
-	refused   bool
-	ref       bundle.Ref // what was pulled or refused; zero: not known
+	// refusal tells why a bundle must not be applied.
+	refusal refusal
+	ref     bundle.Ref // what was pulled or refused; zero: not known
+	// partial are documents of a pull that failed midway, for the next.
+	partial bundle.Contents
 }
 
+// refusal is why a bundle was refused.
+type refusal int
+
+const (
+	notRefused refusal = iota
+	// refusedSignOffs: these sign-offs are not enough. The same payload may
+	// come with others, as from a peer that didn't damage them.
+	refusedSignOffs
+	// refusedContent: the payload or its documents are bad, whoever sends them.
+	refusedContent
+)
+
 // candidate is a configuration whose sign-offs and documents were checked.
 type candidate struct {
 	ref      bundle.Ref
@@ -53,6 +68,8 @@
 	// known is the wanted manifest, when the store gave it.
 	known    *head
 	failures int
+	// partial are documents that an earlier pull got.
+	partial bundle.Contents
 }
 
 // refusedSet remembers bundles that failed the checks, so that each is fetched
@@ -146,7 +163,8 @@
 		return
 	}
 	a.pull.running = true
-	p := a.newPuller(a.pull.wanted, a.pull.known, a.pull.failures)
+	p := a.newPuller(a.pull)
+	a.pull.partial = nil
 	t.run(func(ctx context.Context) {
 		if pause(ctx, after) == nil {
 			a.post(ctx, p.run(ctx))
@@ -157,13 +175,10 @@
 func (e pulled) apply(a *Agent, t *tasks) {
 	a.pull.running = false
 	switch {
-	case e.refused:
-		a.refuse(e.ref, e.err)
+	case e.refusal != notRefused:
+		a.refuse(e)
 	case e.err != nil:
-		a.metrics.pullsFailed.Inc()
-		a.pull.failures++
-		// The address was tried; the next pull draws another.
-		a.pull.wanted.from = ""
+		a.pullFailed(e)
 	default:
 		a.pull.failures = 0
 		a.applyCandidate(t, e.candidate)
@@ -171,6 +186,25 @@
 	a.pullWanted(t, a.pullBackoff())
 }
 
+// pullFailed prepares the next try, or gives up.
+//
+// Guard against word of a configuration that nobody has: a host that died
+// with the news, or a faulty peer. The pull would go on for good, keep a
+// starting host from serving and hold back pulls of what does exist. After
+// pullTries it is forgotten; whoever has it will name it again.
+func (a *Agent) pullFailed(e pulled) {
+	a.metrics.pullsFailed.Inc()
+	a.pull.failures++
+	a.pull.wanted.from = "" // it was tried; the next pull draws another
+	if len(e.partial) > 0 && e.partial.Bytes() <= bundle.MaxBundleBytes {
+		a.pull.partial = e.partial
+	}
+	if a.pull.failures >= pullTries {
+		a.start.Withdraw(a.pull.wanted.ref)
+		a.pull = pullState{}
+	}
+}
+
 func (a *Agent) pullBackoff() time.Duration {
 	if a.pull.failures == 0 {
 		return 0
@@ -189,6 +223,7 @@
 		a.metrics.olderIgnored.Inc()
 		return
 	}
+	a.alarm.Store(nil)
 	before := a.published.Load()
 	next := &published{
 		ref: c.ref, signed: c.raw, parts: c.manifest.Parts, contents: c.contents, config: c.config,
@@ -231,14 +266,16 @@
 
 // refuse drops a bundle that fails the checks; the last good one stays in
 // force, and the alarm says so.
-func (a *Agent) refuse(ref bundle.Ref, cause error) {
-	a.refused.add(ref)
-	a.start.Withdraw(ref)
-	if a.pull.wanted.ref == ref {
-		a.pull.wanted, a.pull.known = hint{}, nil
+func (a *Agent) refuse(e pulled) {
+	if e.refusal == refusedContent {
+		a.refused.add(e.ref)
+	}
+	a.start.Withdraw(e.ref)
+	if a.pull.wanted.ref == e.ref {
+		a.pull = pullState{}
 	}
 	a.metrics.refused.Inc()
-	a.raise("refused generation " + ref.String() + ", kept " + a.core.InForce().String() + ": " + cause.Error())
+	a.raise("refused generation " + e.ref.String() + ", kept " + a.core.InForce().String() + ": " + e.err.Error())
 }
 
 // split alarms once for each second content of a generation.
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/platform"
@@ -13,8 +14,8 @@
 
 // callStore makes one call to the store with a deadline, within the host's
 // rate, and notes that the store answered.
-func (a *Agent) callStore(ctx context.Context, name string, timeout time.Duration, call func(context.Context) error) error {
-	if err := a.storeLimit.Wait(ctx); err != nil {
+func (a *Agent) callStore(ctx context.Context, limit *rate.Limiter, name string, timeout time.Duration, call func(context.Context) error) error {
+	if err := limit.Wait(ctx); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -30,7 +31,7 @@
 // readStoreHead reads the head and the revision to watch from.
 func (a *Agent) readStoreHead(ctx context.Context) (head, uint64, error) {
 	var object platform.Object
-	err := a.callStore(ctx, "get_head", storeTimeout, func(ctx context.Context) (err error) {
+	err := a.callStore(ctx, a.storeLimit, "get_head", storeTimeout, func(ctx context.Context) (err error) {
 		object, err = a.config.Store.Get(ctx, HeadKey)
 		return err
 	})
@@ -43,7 +44,7 @@
 
 func (a *Agent) readStoreDocument(ctx context.Context, hash bundle.Hash) ([]byte, error) {
 	var object platform.Object
-	err := a.callStore(ctx, "get_document", storeTimeout, func(ctx context.Context) (err error) {
+	err := a.callStore(ctx, a.documentLimit, "get_document", storeTimeout, func(ctx context.Context) (err error) {
 		object, err = a.config.Store.Get(ctx, documentKey(hash))
 		return err
 	})
@@ -155,7 +156,7 @@
 }
 
 func (a *Agent) watchOnce(ctx context.Context, after uint64) (changed []platform.Object, next uint64, err error) {
-	err = a.callStore(ctx, "watch", watchWait, func(ctx context.Context) (err error) {
+	err = a.callStore(ctx, a.storeLimit, "watch", watchWait, func(ctx context.Context) (err error) {
 		changed, next, err = a.config.Store.Watch(ctx, HeadKey, after)
 		return err
 	})
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -26,10 +26,19 @@
 	// after the end of an outage a watcher hears of a change.
 	storeFirstBackoff = 200 * time.Millisecond
 	storeLastBackoff  = 2 * time.Second
-	// storeCallsPerSecond and storeCallBurst bound a host's calls to the
-	// store, whatever goes wrong. A burst covers the parts of one change.
+	// storeCallsPerSecond and storeCallBurst bound a host's reads of the head
+	// and its watches, whatever goes wrong.
 	storeCallsPerSecond = 4
-	storeCallBurst      = 16
+	storeCallBurst      = 8
+	// documentsPerSecond bounds a host's reads of documents. A starting watcher
+	// of a large bundle has it in seconds; 24 watchers that all start stay
+	// below the platform's 2,000 reads a second.
+	documentsPerSecond = 60
+	// fallbackEvery and fallbackBurst bound the reads of the head by a host that is no
+	// watcher and whose peers don't have what they name: 3,400 hosts make 57
+	// a second.
+	fallbackEvery = time.Minute
+	fallbackBurst = 2
 
 	// peerTimeout bounds a call to a peer. Between regions a round trip is
 	// tens of milliseconds; a paused peer must not hold a pull up for long.
@@ -47,6 +56,8 @@
 	// peers are gone all hosts of a zone would otherwise turn to the store at
 	// the same moment.
 	pullsBeforeStore = 3
+	// pullTries is after how many failed pulls a configuration is forgotten.
+	pullTries = 8
 	// startPeers is how many peers a starting host asks.
 	startPeers = 3
 	// startPeersWait is how long a starting host waits for a first peer's
--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -17,21 +17,26 @@
 type puller struct {
 	agent *Agent
 	have  *published
-	want  bundle.Ref
 	known *head
 	// address is a peer that should have it; empty: none is known.
-	address  string
-	useStore bool
-	contents bundle.Contents
+	address string
+	// documentsInStore and headInStore allow reading these from the store.
+	documentsInStore bool
+	headInStore      bool
+	contents         bundle.Contents
 }
 
-func (a *Agent) newPuller(wanted hint, known *head, failures int) *puller {
+func (a *Agent) newPuller(state pullState) *puller {
 	p := &puller{
-		agent: a, have: a.published.Load(), want: wanted.ref, known: known,
-		address: wanted.from, contents: make(bundle.Contents),
-		// A host that has the manifest from the store is a watcher, or is
-		// starting: it may read the documents there.
-		useStore: known != nil || failures >= pullsBeforeStore,
+		agent: a, have: a.published.Load(), known: state.known,
+		address: state.wanted.from, contents: state.partial,
+		// A watcher reads the store anyway. Other hosts leave it alone while
+		// there are peers: all of a zone would turn to it at once.
+		documentsInStore: a.config.IsWatcher() || state.failures >= pullsBeforeStore,
+		headInStore:      state.failures >= pullsBeforeStore,
+	}
+	if p.contents == nil {
+		p.contents = make(bundle.Contents)
 	}
 	if p.address == "" {
 		p.address = a.anyPeer()
@@ -42,47 +47,42 @@
 func (p *puller) run(ctx context.Context) pulled {
 	signed, err := p.manifest(ctx)
 	if err != nil {
-		return pulled{err: err}
+		return p.failed(err)
 	}
 	return p.complete(ctx, signed)
 }
 
+func (p *puller) failed(err error) pulled { return pulled{err: err, partial: p.contents} }
+
 // complete checks the sign-offs before it asks for a single document.
 func (p *puller) complete(ctx context.Context, signed bundle.Signed) pulled {
-	manifest, err := p.agent.config.Signers.Verify(signed)
+	ref, _, err := refOf(signed)
 	if err != nil {
-		return p.refusal(signed, err)
+		return p.failed(errors.Wrap(err, "unreadable manifest"))
 	}
-	ref := bundle.Ref{Generation: manifest.Generation, Hash: signed.Hash()}
-	if p.have != nil && ref.Generation <= p.have.ref.Generation && ref != p.want {
-		return pulled{err: errNotNewer}
+	if p.have != nil && ref.Generation <= p.have.ref.Generation {
+		return p.failed(errNotNewer)
+	}
+	manifest, err := p.agent.config.Signers.Verify(signed)
+	if err != nil {
+		return pulled{refusal: refusedSignOffs, ref: ref, err: err}
 	}
 	if err := p.documents(ctx, manifest.Parts); err != nil {
-		return pulled{err: err, ref: ref}
+		return p.failed(err)
 	}
 	config, _, err := bundle.Open(manifest, p.contents)
 	if err != nil {
-		return pulled{refused: true, ref: ref, err: err}
+		return pulled{refusal: refusedContent, ref: ref, err: err}
 	}
 	raw, err := signed.Encode()
 	if err != nil {
-		return pulled{refused: true, ref: ref, err: err}
+		return pulled{refusal: refusedContent, ref: ref, err: err}
 	}
 	return pulled{ref: ref, candidate: &candidate{
 		ref: ref, raw: raw, manifest: manifest, contents: p.only(manifest.Parts), config: config,
 	}}
 }
 
-// refusal names what was refused: what was wanted, unless the payload names
-// another. A wrong manifest under a good name must not get the good one refused.
-func (p *puller) refusal(signed bundle.Signed, err error) pulled {
-	ref, _, readErr := refOf(signed)
-	if readErr != nil {
-		return pulled{err: errors.Wrap(readErr, "unreadable manifest")}
-	}
-	return pulled{refused: true, ref: ref, err: err}
-}
-
 // manifest gets the signed manifest from the peer, or from the store.
 func (p *puller) manifest(ctx context.Context) (bundle.Signed, error) {
 	if p.known != nil {
@@ -90,7 +90,9 @@
 		return p.known.Signed, nil
 	}
 	signed, err := p.manifestFromPeer(ctx)
-	if err == nil || !p.useStore {
+	// The limit is for word of configurations that don't exist: every host of
+	// the fleet would read the store for each such message.
+	if err == nil || !p.headInStore || !p.agent.fallbackLimit.Allow() {
 		return signed, err
 	}
 	value, _, err := p.agent.readStoreHead(ctx)
@@ -133,7 +135,7 @@
 		}
 	}
 	err := p.documentsFromPeer(ctx, parts)
-	if err == nil || !p.useStore {
+	if err == nil || !p.documentsInStore {
 		return err
 	}
 	return p.documentsFromStore(ctx, parts)
