--- /dev/null
+++ b/exchange/link.go
@@ -0,0 +1,217 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// pingAfter is how long a stream with open legs may be silent before it is
+	// pinged.
+	pingAfter = 200 * time.Millisecond
+	// deadAfter is how long it may be silent before it is dropped: four pings
+	// lost, and still inside the deadline of most queries, so that their legs
+	// can move to the second home.
+	deadAfter = time.Second
+	// idleAfter closes streams that carried no leg for this long.
+	idleAfter = time.Minute
+)
+
+// link is one open stream to a peer, as the side that sends legs.
+type link struct {
+	conn   drpc.Conn
+	stream exchangepb.DRPCExchange_LegsClient
+	cancel context.CancelFunc
+	out    *outbox
+	now    func() time.Time
+
+	mu      sync.Mutex
+	nextLeg uint64
+	pending map[uint64]*pendingLeg
+	heard   time.Time // last frame from the peer
+	used    time.Time // last leg added
+	closed  bool
+}
+
+type pendingLeg struct {
+	request leg.Request
+	done    func(leg.Result)
+	sent    bool // the writer has taken it: it may have reached the peer
+}
+
+func newLink(conn drpc.Conn, stream exchangepb.DRPCExchange_LegsClient, cancel context.CancelFunc, now func() time.Time) *link {
+	return &link{
+		conn:    conn,
+		stream:  stream,
+		cancel:  cancel,
+		out:     newOutbox(),
+		now:     now,
+		pending: make(map[uint64]*pendingLeg),
+		heard:   now(),
+		used:    now(),
+	}
+}
+
+// add queues a leg; false when the link has closed and the leg was not taken.
+func (l *link) add(request leg.Request, done func(leg.Result)) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return 0, false
+	}
+	if len(l.pending) == 0 {
+		// Silence counts only while the peer owes something.
+		l.heard = l.now()
+	}
+	l.nextLeg++
+	id := l.nextLeg
+	l.pending[id] = &pendingLeg{request: request, done: done}
+	l.used = l.now()
+	if !l.out.put(item{request: encodeRequest(id, request, l.now())}) {
+		delete(l.pending, id)
+		return 0, false
+	}
+	return id, true
+}
+
+// drop cancels a leg; its done function is called at once.
+func (l *link) drop(id uint64) {
+	l.mu.Lock()
+	p := l.pending[id]
+	delete(l.pending, id)
+	l.mu.Unlock()
+	if p == nil {
+		return
+	}
+	l.out.put(item{cancel: &exchangepb.LegCancel{Leg: id}})
+	p.done(leg.Failed(p.request, result.Cancelled, sentOutcome(p), "cancelled"))
+}
+
+func sentOutcome(p *pendingLeg) result.Outcome {
+	if p.sent {
+		return result.OutcomeUnknown
+	}
+	return result.OutcomeUnsent
+}
+
+// write sends frames until the stream breaks or ctx ends.
+func (l *link) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.out.ready:
+		}
+		batch := l.out.take()
+		if len(batch) == 0 {
+			continue
+		}
+		l.markSent(batch)
+		if err := l.stream.Send(frameOf(batch)); err != nil {
+			l.cancel()
+			return
+		}
+	}
+}
+
+// markSent marks legs before their frame is written: once any byte may have
+// left, a leg is never again called unsent.
+func (l *link) markSent(batch []item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, it := range batch {
+		if it.request == nil {
+			continue
+		}
+		if p := l.pending[it.request.GetLeg()]; p != nil {
+			p.sent = true
+		}
+	}
+}
+
+// read takes replies in until the stream breaks.
+func (l *link) read() {
+	defer l.cancel()
+	for {
+		frame, err := l.stream.Recv()
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.heard = l.now()
+		l.mu.Unlock()
+		if frame.GetPing() != 0 {
+			l.out.put(item{pong: frame.GetPing()})
+		}
+		for _, reply := range frame.GetReplies() {
+			l.deliver(reply)
+		}
+	}
+}
+
+func (l *link) deliver(reply *exchangepb.LegReply) {
+	l.mu.Lock()
+	p := l.pending[reply.GetLeg()]
+	delete(l.pending, reply.GetLeg())
+	l.mu.Unlock()
+	if p != nil {
+		p.done(decodeResult(reply))
+	}
+}
+
+// watch drops the stream when the peer owes replies and is silent.
+//
+// Failure: something between the hosts has lost track of the connection; it
+// shows as open legs and no frame, not even a pong, while writes still seem to
+// succeed. The guard holds because a live peer answers a ping at once, however
+// slow its backend servers are.
+func (l *link) watch(ctx context.Context) {
+	ticker := time.NewTicker(pingAfter)
+	defer ticker.Stop()
+	sequence := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		silent, unused, open := l.ages()
+		if open && silent >= deadAfter || !open && unused >= idleAfter {
+			l.cancel()
+			return
+		}
+		if open && silent >= pingAfter {
+			sequence++
+			l.out.put(item{ping: sequence})
+		}
+	}
+}
+
+func (l *link) ages() (silent, unused time.Duration, open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	return now.Sub(l.heard), now.Sub(l.used), len(l.pending) > 0
+}
+
+// close ends every leg that is still open: those never sent surely did not
+// run, of the others nothing is known.
+func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	pending := l.pending
+	l.pending = make(map[uint64]*pendingLeg)
+	l.mu.Unlock()
+	l.out.close()
+	_ = l.conn.Close()
+	for _, p := range pending {
+		p.done(leg.Failed(p.request, result.HomeUnavailable, sentOutcome(p), "the link to the home broke"))
+	}
+}
--- /dev/null
+++ b/exchange/outbox.go
@@ -0,0 +1,96 @@
+package exchange
+
+import (
+	"sync"
+
+	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+)
+
+// maxBatch bounds the messages of one frame, so that a frame of large bodies
+// stays under drpc's message limit: 32 requests share one body each, and
+// replies are bounded by the settings' backend_reply_bytes.
+const maxBatch = 32
+
+// outbox gathers messages for one stream. While the writer sends one frame,
+// what arrives meanwhile makes the next: batches grow with load by themselves
+// and a lone message never waits.
+type outbox struct {
+	mu      sync.Mutex
+	waiting []item
+	ready   chan struct{} // holds one token while waiting is not empty
+	closed  bool
+}
+
+// item is one message; exactly one field is set.
+type item struct {
+	request *exchangepb.LegRequest
+	reply   *exchangepb.LegReply
+	cancel  *exchangepb.LegCancel
+	ping    uint64
+	pong    uint64
+}
+
+func newOutbox() *outbox {
+	return &outbox{ready: make(chan struct{}, 1)}
+}
+
+// put adds a message; false when the stream has closed and nothing was taken.
+func (o *outbox) put(it item) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return false
+	}
+	o.waiting = append(o.waiting, it)
+	o.signal()
+	return true
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the next frame's messages, at most maxBatch.
+func (o *outbox) take() []item {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := min(len(o.waiting), maxBatch)
+	batch := o.waiting[:n:n]
+	o.waiting = o.waiting[n:]
+	if len(o.waiting) > 0 {
+		o.signal()
+	}
+	return batch
+}
+
+// close refuses further messages and returns those never taken.
+func (o *outbox) close() []item {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	rest := o.waiting
+	o.waiting = nil
+	return rest
+}
+
+func frameOf(batch []item) *exchangepb.Frame {
+	f := &exchangepb.Frame{}
+	for _, it := range batch {
+		switch {
+		case it.request != nil:
+			f.Requests = append(f.Requests, it.request)
+		case it.reply != nil:
+			f.Replies = append(f.Replies, it.reply)
+		case it.cancel != nil:
+			f.Cancels = append(f.Cancels, it.cancel)
+		case it.ping != 0:
+			f.Ping = it.ping
+		case it.pong != 0:
+			f.Pong = it.pong
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/exchange/server.go
@@ -0,0 +1,119 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+)
+
+// Server takes legs from peers and runs them at this host's homes.
+type Server struct {
+	runner leg.Runner
+	now    func() time.Time
+}
+
+// NewServer makes the server's side of the exchange.
+func NewServer(runner leg.Runner, now func() time.Time) *Server {
+	return &Server{runner: runner, now: now}
+}
+
+// Register adds the exchange to the peers' services.
+func (s *Server) Register(mux drpc.Mux) error {
+	return exchangepb.DRPCRegisterExchange(mux, s)
+}
+
+// inbound is one stream from a peer.
+type inbound struct {
+	server *Server
+	out    *outbox
+
+	mu      sync.Mutex
+	cancels map[uint64]func() // by the sender's leg number
+}
+
+// Legs serves one stream until it breaks. The legs of a broken stream are
+// cancelled: their replies could not be delivered.
+func (s *Server) Legs(stream exchangepb.DRPCExchange_LegsStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	in := &inbound{server: s, out: newOutbox(), cancels: make(map[uint64]func())}
+	defer in.cancelAll()
+	go in.write(ctx, cancel, stream)
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		in.take(frame)
+	}
+}
+
+func (in *inbound) take(frame *exchangepb.Frame) {
+	if frame.GetPing() != 0 {
+		in.out.put(item{pong: frame.GetPing()})
+	}
+	for _, request := range frame.GetRequests() {
+		in.run(request)
+	}
+	for _, c := range frame.GetCancels() {
+		in.cancel(c.GetLeg())
+	}
+}
+
+func (in *inbound) run(m *exchangepb.LegRequest) {
+	id := m.GetLeg()
+	ended := false
+	cancel := in.server.runner.Run(decodeRequest(m, in.server.now()), func(r leg.Result) {
+		in.mu.Lock()
+		ended = true
+		delete(in.cancels, id)
+		in.mu.Unlock()
+		in.out.put(item{reply: encodeResult(id, r)})
+	})
+	in.mu.Lock()
+	if !ended {
+		in.cancels[id] = cancel
+	}
+	in.mu.Unlock()
+}
+
+func (in *inbound) cancel(id uint64) {
+	in.mu.Lock()
+	cancel := in.cancels[id]
+	in.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (in *inbound) cancelAll() {
+	in.out.close()
+	in.mu.Lock()
+	cancels := in.cancels
+	in.cancels = make(map[uint64]func())
+	in.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
+
+func (in *inbound) write(ctx context.Context, cancel context.CancelFunc, stream exchangepb.DRPCExchange_LegsStream) {
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-in.out.ready:
+		}
+		if batch := in.out.take(); len(batch) > 0 {
+			if err := stream.Send(frameOf(batch)); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -34,9 +34,12 @@
 	done     func(leg.Result)
 	attempts int
 	hedges   int
+	// notHeld: the last attempt was refused since the server lacks the snapshot.
+	notHeld bool
 }
 
 type openAttempt struct {
+	leg         home.LegID
 	server      string
 	fingerprint uint64
 	cancel      context.CancelFunc
@@ -161,6 +164,7 @@
 	s.server.counter.Attempt(s.name, act.Hedge, act.Retry)
 	ctx, cancel := context.WithDeadline(background, l.request.Deadline)
 	s.attempts[act.Attempt] = &openAttempt{
+		leg:         act.Leg,
 		server:      act.Server,
 		fingerprint: l.request.Fingerprint,
 		cancel:      cancel,
@@ -186,8 +190,7 @@
 	var inFlight []uint64
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
 		inFlight = s.fingerprintsOn(server.Name)
-		s.attempts[call.Attempt].cancel()
-		s.attempts[call.Attempt].end = end
+		s.note(s.attempts[call.Attempt], end)
 		acts = s.home.Finish(now, call.Attempt, home.End{
 			Outcome:    end.Outcome,
 			Fault:      end.Fault,
@@ -203,6 +206,14 @@
 	s.server.watcher.Ended(server, end, inFlight)
 }
 
+func (s *service) note(a *openAttempt, end backend.Attempt) {
+	a.cancel()
+	a.end = end
+	if l := s.legs[a.leg]; l != nil {
+		l.notHeld = end.Fault == backend.FaultSnapshotNotHeld
+	}
+}
+
 // fingerprintsOn lists the requests in flight on a server.
 func (s *service) fingerprintsOn(server string) []uint64 {
 	var prints []uint64
@@ -224,6 +235,9 @@
 	r.Attempts = l.attempts
 	r.Hedges = l.hedges
 	r.RetryAfter = act.RetryAfter
+	if l.notHeld {
+		r.Code = result.NoSnapshot
+	}
 	if act.Kind == home.ActionAnswer {
 		reply := s.attempts[act.Attempt].end.Reply
 		r.Code = 0
--- /dev/null
+++ b/observe/log.go
@@ -0,0 +1,24 @@
+package observe
+
+import (
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// NewLogger makes the host's logger, which writes to standard error. Level is
+// debug, info, warn or error; format is json or console.
+func NewLogger(level, format string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	if format != "" {
+		config.Encoding = format
+	}
+	if level != "" {
+		parsed, err := zap.ParseAtomicLevel(level)
+		if err != nil {
+			return nil, errors.Wrap(err, "log level")
+		}
+		config.Level = parsed
+	}
+	config.DisableStacktrace = true
+	return config.Build()
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -169,7 +169,8 @@
 		shard.code = result.SnapshotGone
 		shard.detail = "answered from another snapshot"
 	}
-	q.stale = q.stale || q.plan.Restartable && shard.code == result.SnapshotGone
+	lacks := shard.code == result.SnapshotGone || shard.code == result.NoSnapshot
+	q.stale = q.stale || q.plan.Restartable && lacks
 	if verdict == VerdictCorrupt {
 		shard.code = result.OutcomeNotKnown
 		shard.detail = "the reply was not whole"
