--- /dev/null
+++ b/client/advice.go
@@ -0,0 +1,139 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// advised is one entry host that the system advises to use.
+type advised struct {
+	Address string  `json:"address"` // callers' listener, IP and port
+	Weight  float64 `json:"weight"`
+}
+
+// advice is the reply of GET /v1/hosts.
+type advice struct {
+	Hosts  []advised `json:"hosts"`
+	KeepMS int64     `json:"keep_ms"`
+}
+
+// avoidFor is how long a host that refused a connection or named others is
+// passed over, unless no other is left.
+const avoidFor = 2 * time.Second
+
+// hosts is the list of entry hosts in use: the advice while it may be kept,
+// the seeds of the options before the first advice and when none can be had.
+type hosts struct {
+	mu     sync.Mutex
+	seeds  []string
+	hosts  []advised
+	until  time.Time
+	avoid  map[string]time.Time
+	asking bool
+}
+
+func newHosts(seeds []string) *hosts {
+	return &hosts{seeds: seeds, avoid: make(map[string]time.Time)}
+}
+
+// stale reports whether to ask for advice now; one goroutine asks at a time.
+func (h *hosts) stale(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Before(h.until) || h.asking {
+		return false
+	}
+	h.asking = true
+	return true
+}
+
+func (h *hosts) keep(a advice, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asking = false
+	if len(a.Hosts) == 0 {
+		return
+	}
+	h.hosts = a.Hosts
+	h.until = now.Add(time.Duration(a.KeepMS) * time.Millisecond)
+}
+
+func (h *hosts) notAsked() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asking = false
+}
+
+// pass marks a host to be avoided for a while.
+func (h *hosts) pass(address string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoid[address] = now.Add(avoidFor)
+}
+
+// pick draws a host by weight, leaving out those to be avoided while there is
+// another one.
+func (h *hosts) pick(now time.Time, tried map[string]bool) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	candidates := h.candidates(now, tried)
+	total := 0.0
+	for _, c := range candidates {
+		total += c.Weight
+	}
+	at := rand.Float64() * total
+	for _, c := range candidates {
+		if at -= c.Weight; at < 0 {
+			return c.Address
+		}
+	}
+	return candidates[len(candidates)-1].Address
+}
+
+func (h *hosts) candidates(now time.Time, tried map[string]bool) []advised {
+	all := h.hosts
+	if len(all) == 0 {
+		for _, seed := range h.seeds {
+			all = append(all, advised{Address: seed, Weight: 1})
+		}
+	}
+	var fresh, untried []advised
+	for _, c := range all {
+		if tried[c.Address] || c.Weight <= 0 {
+			continue
+		}
+		untried = append(untried, c)
+		if now.After(h.avoid[c.Address]) {
+			fresh = append(fresh, c)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	if len(untried) > 0 {
+		return untried
+	}
+	return all
+}
+
+// refresh asks one host for advice. It asks any known host: each can answer.
+func (c *Client) refresh(ctx context.Context) {
+	address := c.hosts.pick(c.options.Now(), nil)
+	request, err := c.newRequest(ctx, http.MethodGet, address, "/v1/hosts?zone="+c.options.Zone, nil)
+	if err != nil {
+		c.hosts.notAsked()
+		return
+	}
+	reply, err := c.send(request)
+	var a advice
+	if err != nil || reply.status != http.StatusOK || json.Unmarshal(reply.body, &a) != nil {
+		c.hosts.pass(address, c.options.Now())
+		c.hosts.notAsked()
+		return
+	}
+	c.hosts.keep(a, c.options.Now())
+}
