--- a/backend/client.go
+++ b/backend/client.go
@@ -324,7 +324,11 @@
 
 func replyHead(response *http.Response) Reply {
 	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
-	return Reply{Load: readLoad(response.Header), Incarnation: incarnation}
+	return Reply{
+		Load:        readLoad(response.Header),
+		Incarnation: incarnation,
+		Held:        readVersions(response.Header.Get(HeaderHeld)),
+	}
 }
 
 // readAnswer takes a body only if its length, its digest and its snapshot are
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,11 +39,14 @@
 
 	HeaderIncarnation = "Gcs-Incarnation"
 	// HeaderDigest is the xxhash64 of the reply's body, 16 hexadecimal digits.
-	HeaderDigest       = "Gcs-Body-Xxhash64"
-	HeaderLoadRunning  = "Gcs-Load-Running"
-	HeaderLoadQueued   = "Gcs-Load-Queued"
-	HeaderLoadSlots    = "Gcs-Load-Slots"
-	HeaderDraining     = "Gcs-Draining"
+	HeaderDigest      = "Gcs-Body-Xxhash64"
+	HeaderLoadRunning = "Gcs-Load-Running"
+	HeaderLoadQueued  = "Gcs-Load-Queued"
+	HeaderLoadSlots   = "Gcs-Load-Slots"
+	HeaderDraining    = "Gcs-Draining"
+	// HeaderHeld lists the snapshots of the call's index that the server
+	// holds, with commas, so that hosts learn of a new one from traffic.
+	HeaderHeld         = "Gcs-Held"
 	HeaderRetryAfterNs = "Gcs-Retry-After-Ns"
 	// HeaderNotRun is on a 503 only, and is the server's word that it did not
 	// start the work. Its value is a NotRunReason.
@@ -183,17 +187,44 @@
 		h.Get(HeaderShard) == strconv.FormatUint(uint64(call.Shard), 10)
 }
 
-// SetReplyHeaders writes the reply's side of the wire, for servers. answered is
-// the snapshot that the body comes from.
-func SetReplyHeaders(h http.Header, call Call, answered snapshot.Version, incarnation uint64, load Load, body []byte) {
+// SetReplyHeaders writes the reply's side of the wire, for servers.
+// reply.Snapshot is the one that the body comes from.
+func SetReplyHeaders(h http.Header, call Call, reply Reply) {
 	setEchoes(h, call)
-	set(h, HeaderSnapshot, strconv.FormatUint(uint64(answered), 10))
-	set(h, HeaderIncarnation, strconv.FormatUint(incarnation, 10))
-	set(h, HeaderLoadRunning, strconv.Itoa(load.Running))
-	set(h, HeaderLoadQueued, strconv.Itoa(load.Queued))
-	set(h, HeaderLoadSlots, strconv.Itoa(load.Slots))
-	set(h, HeaderDraining, strconv.FormatBool(load.Draining))
-	set(h, HeaderDigest, Digest(body))
-	set(h, "Content-Length", strconv.Itoa(len(body)))
+	set(h, HeaderSnapshot, strconv.FormatUint(uint64(reply.Snapshot), 10))
+	set(h, HeaderIncarnation, strconv.FormatUint(reply.Incarnation, 10))
+	set(h, HeaderLoadRunning, strconv.Itoa(reply.Load.Running))
+	set(h, HeaderLoadQueued, strconv.Itoa(reply.Load.Queued))
+	set(h, HeaderLoadSlots, strconv.Itoa(reply.Load.Slots))
+	set(h, HeaderDraining, strconv.FormatBool(reply.Load.Draining))
+	set(h, HeaderHeld, writeVersions(reply.Held))
+	set(h, HeaderDigest, Digest(reply.Body))
+	set(h, "Content-Length", strconv.Itoa(len(reply.Body)))
 	set(h, "Content-Type", "application/json")
 }
+
+func writeVersions(versions []snapshot.Version) string {
+	words := make([]string, len(versions))
+	for i, version := range versions {
+		words[i] = strconv.FormatUint(uint64(version), 10)
+	}
+	return strings.Join(words, ",")
+}
+
+// readVersions reads the held snapshots; a server that says nothing, or
+// something else, is taken to have said nothing.
+func readVersions(text string) []snapshot.Version {
+	if text == "" {
+		return nil
+	}
+	words := strings.Split(text, ",")
+	versions := make([]snapshot.Version, len(words))
+	for i, word := range words {
+		version, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			return nil
+		}
+		versions[i] = snapshot.Version(version)
+	}
+	return versions
+}
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -195,7 +195,7 @@
 			Outcome:    end.Outcome,
 			Fault:      end.Fault,
 			Load:       end.Reply.Load,
-			HasLoad:    end.Fault == backend.FaultNone,
+			HasLoad:    end.Reply.Incarnation != 0,
 			RetryAfter: end.RetryAfter,
 		}, acts)
 		return acts
