--- /dev/null
+++ b/bench/server.go
@@ -0,0 +1,181 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// Server is a fake backend server: it runs up to its slots at once, sheds the
+// rest, and accepts cancellation.
+type Server struct {
+	Name        string
+	Service     *Service
+	Index       int
+	Zone        int
+	Slots       int
+	Incarnation uint64
+	// Slow multiplies service times; 1 is healthy.
+	Slow float64
+	// ColdUntil: before it, service times are ColdFactor times longer.
+	ColdUntil  time.Duration
+	ColdFactor float64
+	// Down servers refuse connections.
+	Down bool
+	// Refusing servers shed everything.
+	Refusing bool
+	// Report, if set, replaces the true load in replies.
+	Report func(backend.Load) backend.Load
+
+	running map[*Call]struct{}
+	busy    time.Duration // slot time used so far
+}
+
+func newService(s *Sim, index int) *Service {
+	service := &Service{Index: index, Name: fmt.Sprintf("svc-%02d", index)}
+	for r := range s.Case.Shape.Servers {
+		service.Servers = append(service.Servers, &Server{
+			Name:        fmt.Sprintf("%s-%d", service.Name, r),
+			Service:     service,
+			Index:       r,
+			Zone:        (index + r) % s.Case.Shape.Zones,
+			Slots:       s.Case.Shape.Slots,
+			Incarnation: 1,
+			Slow:        1,
+			running:     make(map[*Call]struct{}),
+		})
+	}
+	return service
+}
+
+// Call is one attempt on its way to, on, or back from a server.
+type Call struct {
+	Leg    *Leg
+	Server *Server
+
+	sim       *Sim
+	hop       time.Duration
+	done      func(home.End)
+	arrived   bool
+	started   time.Duration
+	ended     bool
+	cancelled bool
+}
+
+// Send sends the leg to the server from a host; done is called with the end
+// of the attempt once its reply, refusal or failure is back at that host.
+func (s *Sim) Send(host int, server *Server, leg *Leg, done func(home.End)) *Call {
+	return s.send(s.Hop(s.Hosts[host].Zone, server.Zone), server, leg, done)
+}
+
+// send takes the one-way latency; zero is for the ideal queue only.
+func (s *Sim) send(hop time.Duration, server *Server, leg *Leg, done func(home.End)) *Call {
+	call := &Call{Leg: leg, Server: server, sim: s, hop: hop, done: done}
+	s.result.countSent(leg)
+	s.After(hop, call.arrive)
+	return call
+}
+
+func (c *Call) arrive() {
+	server := c.Server
+	c.arrived = true
+	switch {
+	case c.cancelled:
+		c.reply(home.End{Outcome: result.OutcomeUnknown, Fault: backend.FaultCancelled})
+	case server.Down:
+		c.reply(home.End{Outcome: result.OutcomeUnsent, Fault: backend.FaultUnreachable})
+	case server.Refusing || len(server.running) >= server.Slots:
+		c.sim.result.countRefused(c.Leg)
+		c.reply(home.End{Outcome: result.OutcomeRefused, Fault: backend.FaultShed, Load: server.load(), HasLoad: true})
+	default:
+		c.run()
+	}
+}
+
+func (c *Call) run() {
+	c.started = c.sim.now
+	c.Server.running[c] = struct{}{}
+	c.sim.result.countRun(c.Leg)
+	c.sim.After(c.Server.draw(c.sim, c.Leg), func() {
+		if c.release() {
+			c.reply(home.End{Outcome: result.OutcomeRan, Load: c.Server.load(), HasLoad: true})
+		}
+	})
+}
+
+// Cancel asks the server to stop; the end still comes through done.
+func (c *Call) Cancel() {
+	if c.cancelled || c.ended {
+		return
+	}
+	c.cancelled = true
+	c.sim.After(c.hop, func() {
+		if c.arrived && c.release() {
+			c.reply(home.End{Outcome: result.OutcomeUnknown, Fault: backend.FaultCancelled, Load: c.Server.load(), HasLoad: true})
+		}
+	})
+}
+
+// release frees the call's slot; false when it holds none.
+func (c *Call) release() bool {
+	if _, ok := c.Server.running[c]; !ok {
+		return false
+	}
+	delete(c.Server.running, c)
+	used := c.sim.now - c.started
+	c.Server.busy += used
+	c.sim.result.countBusy(c.Leg, used)
+	return true
+}
+
+func (c *Call) reply(end home.End) {
+	c.ended = true
+	c.sim.After(c.hop, func() { c.done(end) })
+}
+
+func (s *Server) draw(sim *Sim, leg *Leg) time.Duration {
+	d := leg.Query.Traffic.ServiceTime
+	t := float64(d.Base) + sim.Times.ExpFloat64()*float64(d.MeanExtra)
+	if sim.Times.Float64() < d.Stragglers {
+		t += float64(d.StragglerExtra)
+	}
+	t *= s.Slow
+	if sim.now < s.ColdUntil {
+		t *= s.ColdFactor
+	}
+	return time.Duration(t)
+}
+
+func (s *Server) load() backend.Load {
+	load := backend.Load{Running: len(s.running), Slots: s.Slots}
+	if s.Report != nil {
+		load = s.Report(load)
+	}
+	return load
+}
+
+// Crash ends every running call with an unknown outcome and takes the server
+// down.
+func (s *Server) Crash(sim *Sim) {
+	s.Down = true
+	s.dropRunning(sim)
+}
+
+// Restart brings the server up as a new incarnation that is slow for a while.
+func (s *Server) Restart(sim *Sim, coldFor time.Duration, coldFactor float64) {
+	s.dropRunning(sim)
+	s.Down = false
+	s.Incarnation++
+	s.ColdUntil = sim.now + coldFor
+	s.ColdFactor = coldFactor
+}
+
+func (s *Server) dropRunning(sim *Sim) {
+	for _, call := range sortedCalls(s.running) {
+		call.release()
+		call.reply(home.End{Outcome: result.OutcomeUnknown, Fault: backend.FaultBroken})
+	}
+}
--- /dev/null
+++ b/bench/sim.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/place"
+)
+
+// epoch is the start of virtual time.
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// Sim is one run of one case with one policy.
+type Sim struct {
+	Case     Case
+	Services []*Service
+	Hosts    []*Host
+	// Arrivals, Times and Choices are independent random streams, so that
+	// policies are compared on the same arrivals.
+	Arrivals, Times, Choices *rand.Rand
+
+	policy    Policy
+	admission Admission
+	now       time.Duration
+	seq       uint64
+	events    eventHeap
+	queries   uint64
+	result    *Result
+}
+
+// Host is one entry host.
+type Host struct {
+	Index int
+	Zone  int
+	// Down hosts answer nothing and get no callers.
+	Down bool
+	// View is the membership this host believes in; hosts share one unless a
+	// case makes views differ.
+	View *member.View
+}
+
+// Service is a set of fake backend servers for one shard.
+type Service struct {
+	Index   int
+	Name    string
+	Servers []*Server
+}
+
+// Run runs the case with the policy and returns what the callers saw.
+func Run(c Case, spec PolicySpec, seed uint64) *Result {
+	c = c.withDefaults()
+	s := newSim(c, seed)
+	s.result = newResult(c, spec.Name, seed)
+	s.policy = spec.New(s)
+	s.admission = admitAll{s}
+	if c.Admission != nil {
+		s.admission = c.Admission(s)
+	}
+	for _, change := range c.Changes {
+		s.At(change.At, func() { change.Do(s) })
+	}
+	s.scheduleArrivals()
+	s.drain()
+	s.result.close()
+	return s.result
+}
+
+func newSim(c Case, seed uint64) *Sim {
+	s := &Sim{
+		Case:     c,
+		Arrivals: rand.New(rand.NewPCG(seed, 1)),
+		Times:    rand.New(rand.NewPCG(seed, 2)),
+		Choices:  rand.New(rand.NewPCG(seed, 3)),
+	}
+	for i := range c.Shape.EntryHosts {
+		s.Hosts = append(s.Hosts, &Host{Index: i, Zone: i % c.Shape.Zones})
+	}
+	s.ShareView()
+	for i := range c.Shape.Services {
+		s.Services = append(s.Services, newService(s, i))
+	}
+	return s
+}
+
+// Now is the virtual time.
+func (s *Sim) Now() time.Time { return epoch.Add(s.now) }
+
+// Elapsed is the virtual time since the start of the run.
+func (s *Sim) Elapsed() time.Duration { return s.now }
+
+// After calls fn once d has passed.
+func (s *Sim) After(d time.Duration, fn func()) { s.At(s.now+d, fn) }
+
+// At calls fn at the virtual time since the start; a past time means now.
+func (s *Sim) At(at time.Duration, fn func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: max(at, s.now), seq: s.seq, fn: fn})
+}
+
+// drain runs events until none is left or the run is well past its end: a
+// policy that keeps a timer for ever must not keep the run alive.
+func (s *Sim) drain() {
+	end := s.Case.Length + s.Case.longestDeadline() + time.Second
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(event)
+		if next.at > end {
+			return
+		}
+		s.now = next.at
+		next.fn()
+	}
+}
+
+// Hop is the one-way latency between two availability zones.
+func (s *Sim) Hop(a, b int) time.Duration {
+	if a == b {
+		return s.Case.Shape.HopSameZone
+	}
+	return s.Case.Shape.HopOtherZone
+}
+
+// HostHop is the one-way latency between two entry hosts; none to itself.
+func (s *Sim) HostHop(a, b int) time.Duration {
+	if a == b {
+		return 0
+	}
+	return s.Hop(s.Hosts[a].Zone, s.Hosts[b].Zone)
+}
+
+// ShareView gives every host one true view of the membership.
+func (s *Sim) ShareView() {
+	view := s.ViewOf(func(h *Host) bool { return !h.Down })
+	for _, h := range s.Hosts {
+		h.View = view
+	}
+}
+
+// ViewOf makes a view in which the hosts chosen by alive serve.
+func (s *Sim) ViewOf(alive func(*Host) bool) *member.View {
+	view := &member.View{}
+	for _, h := range s.Hosts {
+		m := member.Host{ID: hostID(h.Index), Region: regionName, Zone: zoneName(h.Zone)}
+		if !alive(h) {
+			m.State = member.StateDead
+		}
+		view.Hosts = append(view.Hosts, m)
+	}
+	return view
+}
+
+// Placed lists the services for package place.
+func (s *Sim) Placed() []place.Service {
+	placed := make([]place.Service, len(s.Services))
+	for i, service := range s.Services {
+		placed[i].Name = service.Name
+		for _, server := range service.Servers {
+			placed[i].Locations = append(placed[i].Locations, place.Location{Region: regionName, Zone: zoneName(server.Zone)})
+		}
+	}
+	return placed
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	fn  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is part of heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop is part of heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
