--- a/cli/root.go
+++ b/cli/root.go
@@ -12,5 +12,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newStandinCommand())
+	root.AddCommand(newSettingsCommand())
 	return root
 }
