--- /dev/null
+++ b/bench/sim_test.go
@@ -0,0 +1,44 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func short(c Case) Case {
+	c.Length, c.Warmup = 3*time.Second, time.Second
+	return c
+}
+
+func TestRunsAreRepeatable(t *testing.T) {
+	is := is.New(t)
+	c := short(steady("steady-70", BookingDesk(), 0.7))
+	for _, policy := range Policies() {
+		a, b := Run(c, policy, 7), Run(c, policy, 7)
+		is.Equal(a.Run, b.Run)
+		is.Equal(a.Busy, b.Busy)
+		is.Equal(a.All.Latency(0.99), b.All.Latency(0.99))
+	}
+}
+
+func TestEveryQueryIsAccountedFor(t *testing.T) {
+	is := is.New(t)
+	for _, c := range Cases() {
+		for _, policy := range Policies()[:2] {
+			g := Run(short(c), policy, 3).All
+			is.Equal(g.Arrived, g.Ended+g.Refused+g.Lost) // of case c
+			is.Equal(g.AfterDeadline, 0)
+		}
+	}
+}
+
+func TestServersAreAsBusyAsTheLoadSays(t *testing.T) {
+	is := is.New(t)
+	c := short(steady("steady-50", BookingDesk(), 0.5))
+	r := Run(c, QueueBaseline("ideal, no hedge", queueRules{}), 5)
+	slots := c.Shape.Services * c.Shape.Servers * c.Shape.Slots
+	used := r.Busy.Seconds() / (r.Length.Seconds() * float64(slots))
+	is.True(used > 0.45 && used < 0.55)
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -14,5 +14,6 @@
 	}
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
+	root.AddCommand(newBenchCommand())
 	return root
 }
