--- a/cli/root.go
+++ b/cli/root.go
@@ -15,5 +15,6 @@
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
+	root.AddCommand(newBenchCommand())
 	return root
 }
