--- a/cli/root.go
+++ b/cli/root.go
@@ -12,5 +12,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newStandinCommand())
+	root.AddCommand(newSettingsCommand())
+	root.AddCommand(newBundleCommand())
+	root.AddCommand(newBenchCommand())
 	return root
 }
