--- a/member/failure_test.go
+++ b/member/failure_test.go
@@ -29,3 +29,30 @@
 	t.Logf("worst of 200 seeds: %v", worst)
 	is.True(worst < 5*time.Second)
 }
+
+// Callers of seven hosts see one entry host after the other refuse, because a
+// host that was paused for 10 s or 60 s resumes with all its timers run out and
+// declares the others dead. It must suspect nobody, learn that it was believed
+// dead, refute, and be used again by all.
+func TestPausedHostReturnsWithoutHarm(t *testing.T) {
+	for _, length := range []time.Duration{10 * time.Second, 60 * time.Second} {
+		is := is.New(t)
+		s := newSimulation(7)
+		s.fleet(7, 1, 3)
+		s.run(5 * time.Second)
+		paused := s.list[2]
+		s.pause(paused, length)
+		s.run(length - time.Second)
+		is.True(s.all(func(n *node) bool { return n == paused || n.stateAt(paused.self.ID) == StateDead }))
+		s.run(1100 * time.Millisecond)
+		is.Equal(paused.serving(), 7)
+		is.True(CutOff(s.now, Contact{StartedAt: simStart, PeerHeardAt: simStart}, 4*time.Second))
+		took, healed := s.runUntil(10*time.Second, func() bool {
+			return s.all(func(n *node) bool { return n.serving() == 7 })
+		})
+		is.True(healed)
+		is.True(paused.counters.Pauses > 0)
+		is.Equal(paused.counters.Suspicions, uint64(0))
+		t.Logf("paused %v: used by all again after %v", length, took)
+	}
+}
