--- a/front/messages.go
+++ b/front/messages.go
@@ -32,6 +32,9 @@
 	Body           json.RawMessage `json:"body"`
 	Ticket         string          `json:"ticket,omitempty"`
 	IdempotencyKey string          `json:"idempotency_key,omitempty"`
+	// Resent says that the booking was sent before. A host that can't see
+	// what became of it then says "unknown" where it would say "not run".
+	Resent bool `json:"resent,omitempty"`
 }
 
 // TicketReply answers POST /v1/tickets/{route}.
@@ -84,8 +87,8 @@
 	Detail string           `json:"detail,omitempty"`
 }
 
-// replyOf writes an answer for its caller.
-func replyOf(a *scatter.Answer, index string, detail bool) Reply {
+// ReplyOf writes an answer for its caller; detail lists the missing shards.
+func ReplyOf(a *scatter.Answer, index string, detail bool) Reply {
 	r := Reply{
 		RequestID:    a.Request.String(),
 		Code:         a.Code,
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -270,3 +270,9 @@
 	}
 	return a.SameServices(b)
 }
+
+func (s *service) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.legs)
+}
--- /dev/null
+++ b/host.go
@@ -0,0 +1,210 @@
+// Package goldcrestspan runs an entry host: one of the many small, equal hosts
+// that together are the query tier. The daemon is a few lines around it, and a
+// program can embed it:
+//
+//	host, err := goldcrestspan.New(s, goldcrestspan.Options{})
+//	err = host.Run(ctx) // until ctx ends, then a planned stop
+package goldcrestspan
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/drain"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
+	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/settings"
+)
+
+// Options are what an embedding program may put in place of the defaults.
+type Options struct {
+	Logger   *zap.Logger          // default: none
+	Registry *prometheus.Registry // default: one of its own
+	Now      func() time.Time     // default: time.Now
+	// Store and HostList, set together, stand in for the platform's client.
+	Store    platform.Store
+	HostList platform.HostList
+	// Backends stands in for the HTTP client of backend servers.
+	Backends backend.Runner
+	// CallerTLS and OperatorTLS are for the listeners; PeerTLS, for both
+	// directions between hosts. Nil speaks plain text.
+	CallerTLS   *tls.Config
+	PeerTLS     *tls.Config
+	OperatorTLS *tls.Config
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+// Host is one entry host.
+type Host struct {
+	parts
+	options Options
+	front   *front.Front
+	live    context.Context
+	end     context.CancelFunc
+
+	inFlight atomic.Int64 // requests of callers
+	stop     atomic.Pointer[drain.Stop]
+}
+
+// New builds a host and opens its listeners; Run starts it.
+func New(s settings.Settings, options Options) (*Host, error) {
+	options = options.withDefaults()
+	live, end := context.WithCancel(context.Background())
+	built, err := build(live, s, options)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	h := &Host{parts: built, options: options, live: live, end: end}
+	h.front = front.New(h, h.Metrics, front.Options{
+		MaxBodyBytes:  s.Limits.MaxBodyBytes,
+		MaxConcurrent: s.Limits.MaxConcurrent,
+		Now:           options.Now,
+	})
+	if err := h.register(); err != nil {
+		h.Listeners.close()
+		end()
+		return nil, err
+	}
+	return h, nil
+}
+
+// register adds every slice's service to the peers' server.
+func (h *Host) register() error {
+	mux := h.PeerServer.Mux()
+	inbound := exchange.NewServer(h.Local, h.Now)
+	for _, register := range []func() error{
+		func() error { return h.Member.Register(mux) },
+		func() error { return h.Rollout.Register(mux) },
+		func() error { return inbound.Register(mux) },
+	} {
+		if err := register(); err != nil {
+			return errors.Wrap(err, "register peers' services")
+		}
+	}
+	return nil
+}
+
+// CallerAddress, PeerAddress and OperatorAddress are the listeners' addresses.
+func (h *Host) CallerAddress() string { return h.Listeners.callers.Addr().String() }
+
+// PeerAddress is the address of the peers' listener.
+func (h *Host) PeerAddress() string { return h.Listeners.peers.Addr().String() }
+
+// OperatorAddress is the address of the operators' listener.
+func (h *Host) OperatorAddress() string { return h.Listeners.operators.Addr().String() }
+
+// Run serves until ctx ends, and then makes a planned stop. It returns when
+// everything has ended, or with the first part that failed.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.end()
+	group, live := errgroup.WithContext(h.live)
+	callers := h.callersServer()
+	operators := &http.Server{Handler: h.operatorsHandler(), ReadHeaderTimeout: h.Settings.Limits.HeaderTimeout}
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() error { return errors.Wrap(f(live), name) })
+	}
+	run("member", h.Member.Run)
+	run("rollout", h.Rollout.Run)
+	run("catalog", h.Catalog.Run)
+	run("control", h.control)
+	run("peers", func(ctx context.Context) error { return h.PeerServer.Serve(ctx, h.peersListener()) })
+	run("callers", func(context.Context) error { return serve(callers, h.Listeners.callers, h.options.CallerTLS) })
+	run("operators", func(context.Context) error {
+		return serve(operators, h.Listeners.operators, h.options.OperatorTLS)
+	})
+	run("stop", func(live context.Context) error {
+		select {
+		case <-ctx.Done():
+			h.plannedStop(live)
+		case <-live.Done():
+		}
+		_ = callers.Close()
+		_ = operators.Close()
+		h.end()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (h *Host) callersServer() *http.Server {
+	limits := h.Settings.Limits
+	return &http.Server{
+		Handler:           h.count(h.front.Handler()),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		ReadTimeout:       limits.BodyTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// maxHeaderBytes bounds the head of a caller's request.
+const maxHeaderBytes = 16 << 10
+
+// count counts the requests in flight, for the planned stop.
+func (h *Host) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.inFlight.Add(1)
+		defer h.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Config implements front.Service.
+func (h *Host) Config() *bundle.Config { return h.Rollout.Config() }
+
+// Ready implements front.Service: it refuses work, as "not run", while the
+// host has no configuration, is cut off or is stopping.
+func (h *Host) Ready() *result.Error {
+	if h.Config() == nil {
+		return &result.Error{Code: result.NotReady, Hosts: h.otherHosts()}
+	}
+	if stop := h.stop.Load(); stop != nil && stop.Phase(h.Now(), 1) >= drain.PhaseRefusing {
+		return &result.Error{Code: result.Draining, Hosts: h.otherHosts()}
+	}
+	if h.Member.CutOff(h.Now(), h.Rollout.StoreHeardAt(), h.Settings.Limits.CutOffAfter) {
+		return &result.Error{Code: result.CutOff, Hosts: h.otherHosts()}
+	}
+	return nil
+}
+
+// otherHosts are callers' listeners of other serving hosts.
+func (h *Host) otherHosts() []string {
+	view := h.Member.View()
+	var addresses []string
+	for _, other := range view.Hosts {
+		if other.ID != view.Self && other.Serving() && len(addresses) < maxNamedHosts {
+			addresses = append(addresses, other.CallerAddress)
+		}
+	}
+	return addresses
+}
+
+// maxNamedHosts bounds the hosts named in a refusal.
+const maxNamedHosts = 5
+
+// Name is the host's name from its settings.
+func (h *Host) Name() string { return h.Settings.Host.Name }
--- /dev/null
+++ b/parts.go
@@ -0,0 +1,239 @@
+package goldcrestspan
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/catalog"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
+	"github.com/goldcrestspan/goldcrestspan/homeserver"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/observe"
+	"github.com/goldcrestspan/goldcrestspan/peer"
+	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/rollout"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+	"github.com/goldcrestspan/goldcrestspan/settings"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// clock is the time source that every part shares.
+type clock func() time.Time
+
+// lifetime ends when the host has stopped.
+type lifetime struct{ context.Context }
+
+// listeners are open before any part starts, so that ports of 0 are known.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+// parts are what the container builds; the host runs them.
+type parts struct {
+	dig.In
+
+	Settings    settings.Settings
+	Now         clock
+	Log         *zap.Logger
+	Registry    *prometheus.Registry
+	Metrics     *observe.Metrics
+	Listeners   *listeners
+	Pool        *peer.Pool
+	PeerServer  *peer.Server
+	Member      *member.Agent
+	Rollout     *rollout.Agent
+	Catalog     *catalog.Agent
+	Homes       *homes
+	Local       *homeserver.Server
+	Pins        *snapshot.Pins
+	Coordinator *scatter.Coordinator
+	Incarnation ident.Incarnation
+}
+
+// build wires every part in one place. Each constructor below names what it
+// needs; the container orders them.
+func build(ctx context.Context, s settings.Settings, o Options) (parts, error) {
+	container := dig.New()
+	constructors := []any{
+		func() settings.Settings { return s },
+		func() clock { return o.Now },
+		func() lifetime { return lifetime{ctx} },
+		func() *zap.Logger { return o.Logger },
+		func() *prometheus.Registry { return o.Registry },
+		func() ident.Incarnation { return ident.NewIncarnation(o.Now()) },
+		func(r *prometheus.Registry) (*observe.Metrics, error) { return observe.NewMetrics(r) },
+		openListeners,
+		func() *peer.Pool { return peer.NewPool(o.PeerTLS) },
+		peer.NewServer,
+		func() (platform.Store, platform.HostList) { return openPlatform(s, o) },
+		func() backend.Runner { return openBackends(s, o) },
+		func(now clock) *snapshot.Pins { return snapshot.NewPins(now) },
+		newMember,
+		newRollout,
+		newLocal,
+		newExchange,
+		newHomesPart,
+		newCatalog,
+		newCoordinator,
+	}
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return parts{}, errors.Wrap(err, "wire the host")
+		}
+	}
+	var built parts
+	err := container.Invoke(func(p parts) { built = p })
+	return built, errors.Wrap(dig.RootCause(err), "build the host")
+}
+
+func openListeners(s settings.Settings) (*listeners, error) {
+	l := &listeners{}
+	for _, open := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.Listeners.Callers, &l.callers},
+		{s.Listeners.Peers, &l.peers},
+		{s.Listeners.Operators, &l.operators},
+	} {
+		listener, err := net.Listen("tcp", open.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrap(err, "listen")
+		}
+		*open.into = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func openPlatform(s settings.Settings, o Options) (platform.Store, platform.HostList) {
+	if o.Store != nil {
+		return o.Store, o.HostList
+	}
+	client := platform.NewClient(s.Platform.Addresses, platform.ClientOptions{Timeout: s.Platform.Timeout})
+	return client, client
+}
+
+func openBackends(s settings.Settings, o Options) backend.Runner {
+	if o.Backends != nil {
+		return o.Backends
+	}
+	return backend.NewClient(backend.Options{MaxReplyBytes: int64(s.Limits.BackendReplyBytes)})
+}
+
+func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation) *member.Agent {
+	return member.NewAgent(member.AgentConfig{
+		Membership: member.Config{
+			Self: member.Host{
+				ID:            ident.HostID(s.Host.Name),
+				Incarnation:   incarnation,
+				PeerAddress:   l.peers.Addr().String(),
+				CallerAddress: l.callers.Addr().String(),
+				Region:        s.Host.Region,
+				Zone:          s.Host.Zone,
+			},
+			Seeds: s.Peers,
+		},
+		Pool:       pool,
+		HostList:   list,
+		Now:        now,
+		Logger:     log,
+		Registerer: registry,
+	})
+}
+
+func newRollout(s settings.Settings, l *listeners, store platform.Store, pool *peer.Pool, members *member.Agent, now clock, log *zap.Logger, registry *prometheus.Registry) (*rollout.Agent, error) {
+	signers, err := bundle.NewSigners(s.Keys.Signers)
+	if err != nil {
+		return nil, err
+	}
+	return rollout.NewAgent(rollout.AgentConfig{
+		Address:    l.peers.Addr().String(),
+		Store:      store,
+		Peers:      pool,
+		Signers:    signers,
+		IsWatcher:  func() bool { return isWatcher(members.View(), s.Host.Zone) },
+		PeersFn:    func() []string { return livePeers(members.View(), s.Peers) },
+		Now:        now,
+		Logger:     log,
+		Registerer: registry,
+	}), nil
+}
+
+// watchersPerZone hosts of each availability zone watch the platform: one may
+// be lost, and another may be starting, without the zone going blind.
+const watchersPerZone = 3
+
+func isWatcher(view *member.View, zone string) bool {
+	for _, id := range view.Watchers(zone, watchersPerZone) {
+		if id == view.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// livePeers are the peers' listeners of the other serving hosts; before any is
+// known, the addresses of the settings.
+func livePeers(view *member.View, seeds []string) []string {
+	var addresses []string
+	for _, host := range view.Hosts {
+		if host.ID != view.Self && host.Serving() {
+			addresses = append(addresses, host.PeerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return seeds
+	}
+	return addresses
+}
+
+func newLocal(runner backend.Runner, metrics *observe.Metrics, now clock) *homeserver.Server {
+	return homeserver.New(runner, metrics, noWatcher{}, now)
+}
+
+func newExchange(life lifetime, pool *peer.Pool, s settings.Settings, incarnation ident.Incarnation, now clock) *exchange.Client {
+	return exchange.NewClient(life, pool, ident.HostID(s.Host.Name), incarnation, now)
+}
+
+func newHomesPart(members *member.Agent, local *homeserver.Server, remote *exchange.Client) *homes {
+	return newHomes(members.View, local, remote)
+}
+
+func newCatalog(s settings.Settings, store platform.Store, list platform.HostList, h *homes, local *homeserver.Server, pins *snapshot.Pins, log *zap.Logger) *catalog.Agent {
+	sink := &servers{
+		region:  s.Host.Region,
+		zone:    s.Host.Zone,
+		homes:   h,
+		local:   local,
+		pins:    pins,
+		allowed: func(_ backend.Server, listed platform.HostState) bool { return listed == platform.StateLive },
+	}
+	return catalog.NewAgent(store, list, sink, log)
+}
+
+func newCoordinator(h *homes, metrics *observe.Metrics, now clock, pins *snapshot.Pins) *scatter.Coordinator {
+	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
+}
+
+// noWatcher hears the ends of attempts and does nothing with them.
+type noWatcher struct{}
+
+func (noWatcher) Ended(backend.Server, backend.Attempt, []uint64) {}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,124 @@
+package goldcrestspan
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+const (
+	// noSnapshotRetry is when to come back while no snapshot is held: index
+	// builders publish and replicas load within seconds.
+	noSnapshotRetry = time.Second
+	// restartReserve is the least share of a query's time that must be left
+	// to start it again on another snapshot.
+	restartReserve = 0.4
+)
+
+// plan pins the query's snapshot and makes the work of its legs.
+func (h *Host) plan(q front.Query) (scatter.Work, *result.Error) {
+	pinned := h.pins.Pin(q.Route.Index)
+	if pinned == nil {
+		return scatter.Work{}, &result.Error{
+			Code:       result.NoSnapshot,
+			Detail:     "index " + q.Route.Index,
+			RetryAfter: noSnapshotRetry,
+		}
+	}
+	return scatter.Work{
+		Plan: scatter.Plan{
+			Request:       q.Request,
+			Snapshot:      pinned,
+			Deadline:      q.Deadline,
+			LeastCoverage: q.Route.LeastCoverage,
+			Prefer:        q.Route.Prefer,
+			Idempotent:    q.Route.Kind == bundle.KindQuery,
+			Restartable:   q.Route.Kind == bundle.KindQuery,
+		},
+		Index:       q.Route.Index,
+		Class:       q.Class,
+		Caller:      q.Caller.Name,
+		Fingerprint: fingerprint(q),
+		Body:        q.Body,
+	}, nil
+}
+
+// fingerprint tells requests apart for the quarantine: the same route, caller
+// and body crash the same servers.
+func fingerprint(q front.Query) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range []string{q.Route.Name, q.Caller.Name} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(q.Body)
+	return digest.Sum64()
+}
+
+// run runs a query, and once more, whole, on another snapshot if replicas
+// turned out to lack the pinned one and the time allows.
+func (h *Host) run(ctx context.Context, q front.Query, work scatter.Work) *scatter.Answer {
+	started := h.now()
+	answer := h.coordinator.Run(ctx, work)
+	if answer.Code != result.SnapshotGone && answer.Code != result.NoSnapshot {
+		return answer
+	}
+	h.noteLacked(answer)
+	again, refused := h.plan(q)
+	if refused != nil || again.Snapshot == work.Snapshot || !work.Restartable {
+		return answer
+	}
+	whole := q.Deadline.Sub(started)
+	if left := q.Deadline.Sub(h.now()); float64(left) < restartReserve*float64(whole) {
+		return answer
+	}
+	again.Restartable = false
+	h.metrics.Restart()
+	second := h.coordinator.Run(ctx, again)
+	second.Attempts += answer.Attempts
+	second.Hedges += answer.Hedges
+	return second
+}
+
+func (h *Host) noteLacked(answer *scatter.Answer) {
+	for _, missing := range answer.Missing {
+		if missing.Code == result.NoSnapshot {
+			h.pins.Lacked(missing.Service, answer.Snapshot.Index, answer.Snapshot.Version)
+		}
+	}
+}
+
+// oneShard narrows a booking's work to the one shard that its body goes to: the
+// shard of the item named by the body's "key", or of the whole body.
+func oneShard(work scatter.Work) scatter.Work {
+	shards := work.Snapshot.Shards
+	shard := shards[xxhash.Sum64(bookingKey(work.Body))%uint64(len(shards))]
+	work.Snapshot = &snapshot.Snapshot{
+		Index:   work.Snapshot.Index,
+		Version: work.Snapshot.Version,
+		Shards:  []snapshot.Shard{shard},
+	}
+	work.LeastCoverage = 1
+	work.Prefer = bundle.PreferCoverage
+	return work
+}
+
+func bookingKey(body []byte) []byte {
+	var keyed struct {
+		Key string `json:"key"`
+	}
+	if json.Unmarshal(body, &keyed) == nil && strings.TrimSpace(keyed.Key) != "" {
+		return []byte(keyed.Key)
+	}
+	return body
+}
--- /dev/null
+++ b/stop.go
@@ -0,0 +1,68 @@
+package goldcrestspan
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/drain"
+)
+
+// stopPoll is how often a planned stop looks at what is in flight.
+const stopPoll = 20 * time.Millisecond
+
+// plannedStop leaves the advice, serves on while callers may keep old advice,
+// refuses new work, and returns when nothing is in flight or the limit passed.
+func (h *Host) plannedStop(live context.Context) {
+	keep := time.Duration(0)
+	if config := h.Config(); config != nil {
+		keep = time.Duration(config.Policy.AdviceFor)
+	}
+	stop := drain.Begin(h.Now(), keep, h.Settings.Limits.StopWait)
+	h.stop.Store(stop)
+	h.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.Now())))
+	if err := h.Member.Leave(live); err != nil {
+		h.Log.Warn("peers were not told of the stop", zap.Error(err))
+	}
+	last := drain.PhaseServing
+	for live.Err() == nil {
+		phase := stop.Phase(h.Now(), h.busy())
+		if phase != last {
+			h.Log.Info("planned stop", zap.Stringer("phase", phase), zap.Int("in_flight", h.busy()))
+			last = phase
+		}
+		if phase == drain.PhaseDone {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
+// busy counts the callers' requests and the peers' legs in flight.
+func (h *Host) busy() int { return int(h.inFlight.Load()) + h.Local.Open() }
+
+func serve(server *http.Server, listener net.Listener, config *tls.Config) error {
+	var err error
+	if config == nil {
+		err = server.Serve(listener)
+	} else {
+		server.TLSConfig = config
+		err = server.ServeTLS(listener, "", "")
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (h *Host) peersListener() net.Listener {
+	if h.options.PeerTLS == nil {
+		return h.Listeners.peers
+	}
+	return tls.NewListener(h.Listeners.peers, h.options.PeerTLS)
+}
