--- /dev/null
+++ b/answers.go
@@ -0,0 +1,114 @@
+package goldcrestspan
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/booking"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+// Query implements front.Service.
+func (h *Host) Query(ctx context.Context, q front.Query) (*scatter.Answer, *result.Error) {
+	work, refused := h.plan(q)
+	if refused != nil {
+		return nil, refused
+	}
+	return h.run(ctx, q, work), nil
+}
+
+// Ticket implements front.Service.
+func (h *Host) Ticket(q front.Query) (string, *result.Error) {
+	return h.parts.Desk.Issue(q.Caller.Name, q.Route.Name), nil
+}
+
+// Book implements front.Service.
+func (h *Host) Book(ctx context.Context, b front.Booking) (result.Code, []byte, *result.Error) {
+	outcome := h.parts.Desk.Book(ctx, booking.Request{
+		RequestID:      b.Request,
+		Ticket:         b.Ticket,
+		IdempotencyKey: b.IdempotencyKey,
+		Caller:         b.Caller.Name,
+		Route:          b.Route.Name,
+		Body:           b.Body,
+		Deadline:       b.Deadline,
+		Resent:         b.Resent,
+	})
+	if outcome.Answer == nil {
+		return 0, nil, &result.Error{Code: outcome.Code, Detail: outcome.Detail}
+	}
+	return outcome.Code, outcome.Answer, nil
+}
+
+// runBooking is the one run of a booking: a single leg, never hedged and never
+// retried after an unknown outcome. It also runs bookings that peers forwarded,
+// so it finds route and caller by name.
+func (h *Host) runBooking(ctx context.Context, r booking.Request) booking.Result {
+	q, refused := h.bookingQuery(r)
+	if refused != nil {
+		return booking.Result{Code: refused.Code, Detail: refused.Detail}
+	}
+	work, refused := h.plan(q)
+	if refused != nil {
+		return booking.Result{Code: refused.Code, Detail: refused.Detail}
+	}
+	answer := h.parts.Coordinator.Run(ctx, oneShard(work))
+	outcome := booking.Result{Code: answer.Code, Detail: answer.Detail}
+	if answer.Code != result.Complete {
+		return outcome
+	}
+	raw, err := json.Marshal(front.ReplyOf(answer, q.Route.Index, true))
+	if err != nil {
+		// It ran; only its body can't be passed on.
+		return booking.Result{Code: result.BackendFailed, Detail: "the backend server's body is not JSON"}
+	}
+	outcome.Answer = raw
+	return outcome
+}
+
+func (h *Host) bookingQuery(r booking.Request) (front.Query, *result.Error) {
+	config := h.Config()
+	if config == nil {
+		return front.Query{}, result.Errorf(result.NotReady, "no configuration yet")
+	}
+	caller, ok := config.Caller(r.Caller)
+	if !ok {
+		return front.Query{}, result.Errorf(result.RouteNotAllowed, "")
+	}
+	route, ok := config.Route(r.Route, caller)
+	if !ok || route.Kind != bundle.KindBooking {
+		return front.Query{}, result.Errorf(result.RouteNotAllowed, "")
+	}
+	return front.Query{
+		Request:  r.RequestID,
+		Caller:   caller,
+		Route:    route,
+		Class:    route.Classes[0],
+		Deadline: r.Deadline,
+		Body:     r.Body,
+	}, nil
+}
+
+// Hosts implements front.Service.
+func (h *Host) Hosts(_, _ string) (advice any, keep time.Duration) {
+	view := h.parts.Member.View()
+	keep = time.Duration(h.Config().Policy.AdviceFor)
+	type advised struct {
+		Address string  `json:"address"`
+		Weight  float64 `json:"weight"`
+	}
+	var hosts []advised
+	for _, host := range view.Hosts {
+		if host.Serving() {
+			hosts = append(hosts, advised{Address: host.CallerAddress, Weight: 1})
+		}
+	}
+	return struct {
+		Hosts  []advised `json:"hosts"`
+		KeepMS int64     `json:"keep_ms"`
+	}{hosts, keep.Milliseconds()}, keep
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -12,6 +12,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServeCommand())
+	root.AddCommand(newDemoCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
--- a/client/advice.go
+++ b/client/advice.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // advised is one entry host that the system advises to use.
@@ -137,3 +139,21 @@
 	}
 	c.hosts.keep(a, c.options.Now())
 }
+
+// Hosts returns the entry hosts that the system advises this caller to use,
+// callers' listeners as IP and port. It asks if the last advice has lapsed.
+func (c *Client) Hosts(ctx context.Context) ([]string, error) {
+	if c.hosts.stale(c.options.Now()) {
+		c.refresh(ctx)
+	}
+	c.hosts.mu.Lock()
+	defer c.hosts.mu.Unlock()
+	if len(c.hosts.hosts) == 0 {
+		return c.hosts.seeds, errors.New("client: no advice could be had; these are the seeds")
+	}
+	addresses := make([]string, len(c.hosts.hosts))
+	for i, host := range c.hosts.hosts {
+		addresses[i] = host.Address
+	}
+	return addresses, nil
+}
--- a/cmd/goldcrestspan/main.go
+++ b/cmd/goldcrestspan/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -9,7 +10,7 @@
 )
 
 func main() {
-	if err := cli.NewRoot().Execute(); err != nil {
+	if err := cli.NewRoot().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "goldcrestspan:", err)
 		os.Exit(1)
 	}
--- a/control.go
+++ b/control.go
@@ -31,8 +31,8 @@
 }
 
 func (h *Host) configure(config *bundle.Config) {
-	h.Local.Configure(config)
-	news := h.Rollout.News()
-	h.Member.AnnounceConfig(news.GetGeneration(), news.GetManifestHash())
-	h.Log.Info("configuration in force", zap.Uint64("generation", config.Generation))
+	h.parts.Local.Configure(config)
+	news := h.parts.Rollout.News()
+	h.parts.Member.AnnounceConfig(news.GetGeneration(), news.GetManifestHash())
+	h.parts.Log.Info("configuration in force", zap.Uint64("generation", config.Generation))
 }
--- a/host.go
+++ b/host.go
@@ -60,7 +60,7 @@
 
 // Host is one entry host.
 type Host struct {
-	parts
+	parts   parts
 	options Options
 	front   *front.Front
 	live    context.Context
@@ -80,13 +80,14 @@
 		return nil, err
 	}
 	h := &Host{parts: built, options: options, live: live, end: end}
-	h.front = front.New(h, h.Metrics, front.Options{
+	h.parts.Late.bind(h)
+	h.front = front.New(h, h.parts.Metrics, front.Options{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
 		MaxConcurrent: s.Limits.MaxConcurrent,
 		Now:           options.Now,
 	})
 	if err := h.register(); err != nil {
-		h.Listeners.close()
+		h.parts.Listeners.close()
 		end()
 		return nil, err
 	}
@@ -95,12 +96,13 @@
 
 // register adds every slice's service to the peers' server.
 func (h *Host) register() error {
-	mux := h.PeerServer.Mux()
-	inbound := exchange.NewServer(h.Local, h.Now)
+	mux := h.parts.PeerServer.Mux()
+	inbound := exchange.NewServer(h.parts.Local, h.parts.Now)
 	for _, register := range []func() error{
-		func() error { return h.Member.Register(mux) },
-		func() error { return h.Rollout.Register(mux) },
+		func() error { return h.parts.Member.Register(mux) },
+		func() error { return h.parts.Rollout.Register(mux) },
 		func() error { return inbound.Register(mux) },
+		func() error { return h.parts.Desk.Register(mux) },
 	} {
 		if err := register(); err != nil {
 			return errors.Wrap(err, "register peers' services")
@@ -110,13 +112,13 @@
 }
 
 // CallerAddress, PeerAddress and OperatorAddress are the listeners' addresses.
-func (h *Host) CallerAddress() string { return h.Listeners.callers.Addr().String() }
+func (h *Host) CallerAddress() string { return h.parts.Listeners.callers.Addr().String() }
 
 // PeerAddress is the address of the peers' listener.
-func (h *Host) PeerAddress() string { return h.Listeners.peers.Addr().String() }
+func (h *Host) PeerAddress() string { return h.parts.Listeners.peers.Addr().String() }
 
 // OperatorAddress is the address of the operators' listener.
-func (h *Host) OperatorAddress() string { return h.Listeners.operators.Addr().String() }
+func (h *Host) OperatorAddress() string { return h.parts.Listeners.operators.Addr().String() }
 
 // Run serves until ctx ends, and then makes a planned stop. It returns when
 // everything has ended, or with the first part that failed.
@@ -124,18 +126,18 @@
 	defer h.end()
 	group, live := errgroup.WithContext(h.live)
 	callers := h.callersServer()
-	operators := &http.Server{Handler: h.operatorsHandler(), ReadHeaderTimeout: h.Settings.Limits.HeaderTimeout}
+	operators := &http.Server{Handler: h.operatorsHandler(), ReadHeaderTimeout: h.parts.Settings.Limits.HeaderTimeout}
 	run := func(name string, f func(context.Context) error) {
 		group.Go(func() error { return errors.Wrap(f(live), name) })
 	}
-	run("member", h.Member.Run)
-	run("rollout", h.Rollout.Run)
-	run("catalog", h.Catalog.Run)
+	run("member", h.parts.Member.Run)
+	run("rollout", h.parts.Rollout.Run)
+	run("catalog", h.parts.Catalog.Run)
 	run("control", h.control)
-	run("peers", func(ctx context.Context) error { return h.PeerServer.Serve(ctx, h.peersListener()) })
-	run("callers", func(context.Context) error { return serve(callers, h.Listeners.callers, h.options.CallerTLS) })
+	run("peers", func(ctx context.Context) error { return h.parts.PeerServer.Serve(ctx, h.peersListener()) })
+	run("callers", func(context.Context) error { return serve(callers, h.parts.Listeners.callers, h.options.CallerTLS) })
 	run("operators", func(context.Context) error {
-		return serve(operators, h.Listeners.operators, h.options.OperatorTLS)
+		return serve(operators, h.parts.Listeners.operators, h.options.OperatorTLS)
 	})
 	run("stop", func(live context.Context) error {
 		select {
@@ -152,7 +154,7 @@
 }
 
 func (h *Host) callersServer() *http.Server {
-	limits := h.Settings.Limits
+	limits := h.parts.Settings.Limits
 	return &http.Server{
 		Handler:           h.count(h.front.Handler()),
 		ReadHeaderTimeout: limits.HeaderTimeout,
@@ -174,7 +176,7 @@
 }
 
 // Config implements front.Service.
-func (h *Host) Config() *bundle.Config { return h.Rollout.Config() }
+func (h *Host) Config() *bundle.Config { return h.parts.Rollout.Config() }
 
 // Ready implements front.Service: it refuses work, as "not run", while the
 // host has no configuration, is cut off or is stopping.
@@ -182,10 +184,10 @@
 	if h.Config() == nil {
 		return &result.Error{Code: result.NotReady, Hosts: h.otherHosts()}
 	}
-	if stop := h.stop.Load(); stop != nil && stop.Phase(h.Now(), 1) >= drain.PhaseRefusing {
+	if stop := h.stop.Load(); stop != nil && stop.Phase(h.parts.Now(), 1) >= drain.PhaseRefusing {
 		return &result.Error{Code: result.Draining, Hosts: h.otherHosts()}
 	}
-	if h.Member.CutOff(h.Now(), h.Rollout.StoreHeardAt(), h.Settings.Limits.CutOffAfter) {
+	if h.parts.Member.CutOff(h.parts.Now(), h.parts.Rollout.StoreHeardAt(), h.parts.Settings.Limits.CutOffAfter) {
 		return &result.Error{Code: result.CutOff, Hosts: h.otherHosts()}
 	}
 	return nil
@@ -193,7 +195,7 @@
 
 // otherHosts are callers' listeners of other serving hosts.
 func (h *Host) otherHosts() []string {
-	view := h.Member.View()
+	view := h.parts.Member.View()
 	var addresses []string
 	for _, other := range view.Hosts {
 		if other.ID != view.Self && other.Serving() && len(addresses) < maxNamedHosts {
@@ -207,4 +209,17 @@
 const maxNamedHosts = 5
 
 // Name is the host's name from its settings.
-func (h *Host) Name() string { return h.Settings.Host.Name }
+func (h *Host) Name() string { return h.parts.Settings.Host.Name }
+
+// Serving reports whether the host is ready and has heard from the platform
+// which backend servers and snapshots there are.
+func (h *Host) Serving() bool {
+	return h.Ready() == nil && !h.parts.Catalog.HeardAt().IsZero()
+}
+
+// Abort ends the host at once, as a crash would: nothing is said to anybody.
+func (h *Host) Abort() {
+	h.parts.Listeners.close()
+	_ = h.parts.Pool.Close()
+	h.end()
+}
--- a/parts.go
+++ b/parts.go
@@ -11,12 +11,14 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/catalog"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/platform"
@@ -57,6 +59,25 @@
 	Pins        *snapshot.Pins
 	Coordinator *scatter.Coordinator
 	Incarnation ident.Incarnation
+	Desk        *booking.Desk
+	Late        *late
+}
+
+// late is what parts built early need of parts built later. It is bound before
+// anything runs.
+type late struct {
+	configNews func(member.ConfigNews)
+	runBooking booking.Runner
+}
+
+func (l *late) bind(h *Host) {
+	l.configNews = func(news member.ConfigNews) {
+		h.parts.Rollout.Heard(&memberpb.ConfigNews{
+			Generation:   news.Generation,
+			ManifestHash: news.ManifestHash,
+		}, news.FromAddress)
+	}
+	l.runBooking = h.runBooking
 }
 
 // build wires every part in one place. Each constructor below names what it
@@ -84,6 +105,8 @@
 		newHomesPart,
 		newCatalog,
 		newCoordinator,
+		newDesk,
+		func() *late { return &late{} },
 	}
 	for _, constructor := range constructors {
 		if err := container.Provide(constructor); err != nil {
@@ -138,7 +161,7 @@
 	return backend.NewClient(backend.Options{MaxReplyBytes: int64(s.Limits.BackendReplyBytes)})
 }
 
-func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation) *member.Agent {
+func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation, later *late) *member.Agent {
 	return member.NewAgent(member.AgentConfig{
 		Membership: member.Config{
 			Self: member.Host{
@@ -151,11 +174,12 @@
 			},
 			Seeds: s.Peers,
 		},
-		Pool:       pool,
-		HostList:   list,
-		Now:        now,
-		Logger:     log,
-		Registerer: registry,
+		Pool:         pool,
+		HostList:     list,
+		Now:          now,
+		Logger:       log,
+		Registerer:   registry,
+		OnConfigNews: func(news member.ConfigNews) { later.configNews(news) },
 	})
 }
 
@@ -233,6 +257,32 @@
 	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
 }
 
+func newDesk(s settings.Settings, incarnation ident.Incarnation, store platform.Store, pool *peer.Pool, members *member.Agent, later *late) *booking.Desk {
+	return booking.NewDesk(booking.Config{
+		Host:        ident.HostID(s.Host.Name),
+		Incarnation: incarnation,
+		Run:         func(ctx context.Context, r booking.Request) booking.Result { return later.runBooking(ctx, r) },
+		Store:       store,
+		Peers: booking.Links{
+			Dial: pool.Dial,
+			Find: func(host ident.HostID, _ ident.Incarnation) (string, bool) {
+				return findIssuer(members.View(), host)
+			},
+		},
+	})
+}
+
+// findIssuer returns the peers' listener of the host that issued a ticket. It
+// does not compare incarnations: the desk there knows its own, and membership
+// may raise the one it shows.
+func findIssuer(view *member.View, host ident.HostID) (string, bool) {
+	found, ok := view.Find(host)
+	if !ok || found.State == member.StateDead {
+		return "", false
+	}
+	return found.PeerAddress, true
+}
+
 // noWatcher hears the ends of attempts and does nothing with them.
 type noWatcher struct{}
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,10 +37,14 @@
 // Pool dials peers and keeps idle connections for later calls. A drpc
 // connection carries one call at a time; the pool dials more when needed.
 type Pool struct {
-	tls   *tls.Config
-	conns *drpcpool.Pool[string, *drpcconn.Conn]
+	tls    *tls.Config
+	conns  *drpcpool.Pool[string, *drpcconn.Conn]
+	closed atomic.Bool
 }
 
+// errClosed: the pool was closed, nothing was sent.
+var errClosed = errors.New("peer: the pool is closed")
+
 // NewPool makes a pool; a nil tls means plain text.
 func NewPool(config *tls.Config) *Pool {
 	return &Pool{
@@ -63,10 +68,16 @@
 	return p.dial(ctx, address)
 }
 
-// Close closes the idle connections.
-func (p *Pool) Close() error { return p.conns.Close() }
+// Close closes the idle connections and refuses to dial any more.
+func (p *Pool) Close() error {
+	p.closed.Store(true)
+	return p.conns.Close()
+}
 
 func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	if p.closed.Load() {
+		return nil, errClosed
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
--- a/service.go
+++ b/service.go
@@ -26,7 +26,7 @@
 
 // plan pins the query's snapshot and makes the work of its legs.
 func (h *Host) plan(q front.Query) (scatter.Work, *result.Error) {
-	pinned := h.pins.Pin(q.Route.Index)
+	pinned := h.parts.Pins.Pin(q.Route.Index)
 	if pinned == nil {
 		return scatter.Work{}, &result.Error{
 			Code:       result.NoSnapshot,
@@ -68,8 +68,8 @@
 // run runs a query, and once more, whole, on another snapshot if replicas
 // turned out to lack the pinned one and the time allows.
 func (h *Host) run(ctx context.Context, q front.Query, work scatter.Work) *scatter.Answer {
-	started := h.now()
-	answer := h.coordinator.Run(ctx, work)
+	started := h.parts.Now()
+	answer := h.parts.Coordinator.Run(ctx, work)
 	if answer.Code != result.SnapshotGone && answer.Code != result.NoSnapshot {
 		return answer
 	}
@@ -79,12 +79,12 @@
 		return answer
 	}
 	whole := q.Deadline.Sub(started)
-	if left := q.Deadline.Sub(h.now()); float64(left) < restartReserve*float64(whole) {
+	if left := q.Deadline.Sub(h.parts.Now()); float64(left) < restartReserve*float64(whole) {
 		return answer
 	}
 	again.Restartable = false
-	h.metrics.Restart()
-	second := h.coordinator.Run(ctx, again)
+	h.parts.Metrics.Restart()
+	second := h.parts.Coordinator.Run(ctx, again)
 	second.Attempts += answer.Attempts
 	second.Hedges += answer.Hedges
 	return second
@@ -93,7 +93,7 @@
 func (h *Host) noteLacked(answer *scatter.Answer) {
 	for _, missing := range answer.Missing {
 		if missing.Code == result.NoSnapshot {
-			h.pins.Lacked(missing.Service, answer.Snapshot.Index, answer.Snapshot.Version)
+			h.parts.Pins.Lacked(missing.Service, answer.Snapshot.Index, answer.Snapshot.Version)
 		}
 	}
 }
--- a/stop.go
+++ b/stop.go
@@ -23,17 +23,17 @@
 	if config := h.Config(); config != nil {
 		keep = time.Duration(config.Policy.AdviceFor)
 	}
-	stop := drain.Begin(h.Now(), keep, h.Settings.Limits.StopWait)
+	stop := drain.Begin(h.parts.Now(), keep, h.parts.Settings.Limits.StopWait)
 	h.stop.Store(stop)
-	h.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.Now())))
-	if err := h.Member.Leave(live); err != nil {
-		h.Log.Warn("peers were not told of the stop", zap.Error(err))
+	h.parts.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.parts.Now())))
+	if err := h.parts.Member.Leave(live); err != nil {
+		h.parts.Log.Warn("peers were not told of the stop", zap.Error(err))
 	}
 	last := drain.PhaseServing
 	for live.Err() == nil {
-		phase := stop.Phase(h.Now(), h.busy())
+		phase := stop.Phase(h.parts.Now(), h.busy())
 		if phase != last {
-			h.Log.Info("planned stop", zap.Stringer("phase", phase), zap.Int("in_flight", h.busy()))
+			h.parts.Log.Info("planned stop", zap.Stringer("phase", phase), zap.Int("in_flight", h.busy()))
 			last = phase
 		}
 		if phase == drain.PhaseDone {
@@ -44,7 +44,7 @@
 }
 
 // busy counts the callers' requests and the peers' legs in flight.
-func (h *Host) busy() int { return int(h.inFlight.Load()) + h.Local.Open() }
+func (h *Host) busy() int { return int(h.inFlight.Load()) + h.parts.Local.Open() }
 
 func serve(server *http.Server, listener net.Listener, config *tls.Config) error {
 	var err error
@@ -62,7 +62,7 @@
 
 func (h *Host) peersListener() net.Listener {
 	if h.options.PeerTLS == nil {
-		return h.Listeners.peers
+		return h.parts.Listeners.peers
 	}
-	return tls.NewListener(h.Listeners.peers, h.options.PeerTLS)
+	return tls.NewListener(h.parts.Listeners.peers, h.options.PeerTLS)
 }
--- /dev/null
+++ b/testbed/testbed.go
@@ -0,0 +1,293 @@
+// Package testbed starts the whole system on loopback in one process: a
+// platform stand-in, backend server stand-ins in the users' shapes, and entry
+// hosts with a signed configuration in force. The demo, the load tool and the
+// tests over real sockets use it, and so can embedders' tests.
+package testbed
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/catalog"
+	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/rollout"
+	"github.com/goldcrestspan/goldcrestspan/settings"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+	"github.com/goldcrestspan/goldcrestspan/standin"
+)
+
+const (
+	region = "local"
+	// readyWithin bounds the start of the whole bed.
+	readyWithin = 20 * time.Second
+	readyPoll   = 10 * time.Millisecond
+	anyPort     = "127.0.0.1:0"
+)
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// Group is a set of services of one shape, searched together as one index.
+type Group struct {
+	Index       string
+	Services    int
+	Servers     int // per service
+	Slots       int // per server
+	Connections int // per server
+	Time        standin.ServiceTime
+}
+
+// Config shapes a bed.
+type Config struct {
+	Groups    []Group
+	Hosts     int
+	Documents bundle.Documents
+	// Holds makes servers hold only the published snapshots they are told to;
+	// otherwise every server answers from any snapshot.
+	Holds bool
+	// CrashMarker in a request's body crashes a backend server.
+	CrashMarker string
+	Seed        uint64
+	Logger      *zap.Logger
+	// Tune may change a host's settings before it starts.
+	Tune func(*settings.Settings)
+}
+
+// Bed is a running system.
+type Bed struct {
+	Platform        *standin.Platform
+	PlatformAddress string
+	Record          *standin.Record
+	Backends        []*standin.Backend // in the order of the groups
+	config          Config
+	signers         bundle.Signers
+	keys            []bundle.SigningKey
+	ctx             context.Context
+
+	mu    sync.Mutex
+	hosts []*RunningHost
+	made  int
+}
+
+// RunningHost is one entry host of the bed.
+type RunningHost struct {
+	*goldcrestspan.Host
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// Start starts everything and returns when every host is ready.
+func Start(ctx context.Context, config Config) (*Bed, error) {
+	if config.Logger == nil {
+		config.Logger = zap.NewNop()
+	}
+	b := &Bed{
+		Platform: standin.NewPlatform(),
+		Record:   standin.NewRecord(),
+		config:   config,
+		ctx:      ctx,
+	}
+	for _, step := range []func() error{b.startPlatform, b.makeKeys, b.startBackends, b.publishAll, b.firstBundle, b.startHosts} {
+		if err := step(); err != nil {
+			b.Close()
+			return nil, errors.Wrap(err, "testbed")
+		}
+	}
+	return b, nil
+}
+
+func (b *Bed) startPlatform() error {
+	address, err := b.Platform.Start(anyPort)
+	b.PlatformAddress = address
+	return err
+}
+
+func (b *Bed) makeKeys() error {
+	var public []settings.Signer
+	for _, name := range []string{"author", "reviewer"} {
+		key, err := bundle.GenerateKey(name)
+		if err != nil {
+			return err
+		}
+		b.keys = append(b.keys, key)
+		public = append(public, key.Signer())
+	}
+	signers, err := bundle.NewSigners(public)
+	b.signers = signers
+	return err
+}
+
+// ServiceName is the name of a group's i-th service.
+func ServiceName(group string, i int) string { return fmt.Sprintf("%s-%02d", group, i) }
+
+func (b *Bed) startBackends() error {
+	for _, group := range b.config.Groups {
+		for i := range group.Services {
+			for j := range group.Servers {
+				if err := b.startBackend(group, i, j); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (b *Bed) startBackend(group Group, service, server int) error {
+	name := ServiceName(group.Index, service)
+	config := standin.BackendConfig{
+		Name:        fmt.Sprintf("%s-%d", name, server),
+		Service:     name,
+		Region:      region,
+		Zone:        zones[(service+server)%len(zones)],
+		Slots:       group.Slots,
+		QueueLimit:  0,
+		Connections: group.Connections,
+		Time:        group.Time,
+		CrashMarker: b.config.CrashMarker,
+		Seed:        b.config.Seed,
+		Record:      b.Record,
+	}
+	if b.config.Holds {
+		config.Holds = map[string][]snapshot.Version{}
+	}
+	standIn := standin.NewBackend(config)
+	if err := standIn.Start(anyPort); err != nil {
+		return err
+	}
+	b.Backends = append(b.Backends, standIn)
+	b.List(standIn, platform.StateLive)
+	return nil
+}
+
+// List puts a backend server on the host list in a state.
+func (b *Bed) List(standIn *standin.Backend, state platform.HostState) {
+	server := standIn.Server()
+	b.Platform.AddHost(platform.ListedHost{
+		Name:        server.Name,
+		Kind:        platform.KindBackend,
+		Address:     server.Address,
+		Region:      server.Region,
+		Zone:        server.Zone,
+		State:       state,
+		Service:     server.Service,
+		Incarnation: server.Incarnation,
+	})
+}
+
+// BackendsOf returns the servers of a service.
+func (b *Bed) BackendsOf(service string) []*standin.Backend {
+	var found []*standin.Backend
+	for _, standIn := range b.Backends {
+		if standIn.Server().Service == service {
+			found = append(found, standIn)
+		}
+	}
+	return found
+}
+
+func (b *Bed) publishAll() error {
+	for _, group := range b.config.Groups {
+		if b.config.Holds {
+			b.HoldAll(group.Index, 1)
+		}
+		if err := b.Publish(b.ShardMap(group.Index, 1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// HoldAll makes all servers hold a snapshot.
+func (b *Bed) HoldAll(index string, version snapshot.Version) {
+	for _, standIn := range b.Backends {
+		standIn.Hold(index, version)
+	}
+}
+
+// ShardMap makes the group's plain shard map: one shard for each service.
+func (b *Bed) ShardMap(index string, version snapshot.Version) *snapshot.Snapshot {
+	s := &snapshot.Snapshot{Index: index, Version: version}
+	for _, group := range b.config.Groups {
+		if group.Index != index {
+			continue
+		}
+		for i := range group.Services {
+			s.Shards = append(s.Shards, snapshot.Shard{ID: snapshot.ShardID(i + 1), Service: ServiceName(index, i)})
+		}
+	}
+	return s
+}
+
+// Publish puts a snapshot into the platform, as an index builder does.
+func (b *Bed) Publish(s *snapshot.Snapshot) error {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%s%s/%d", catalog.SnapshotPrefix, s.Index, s.Version)
+	_, err = b.Platform.Put(b.ctx, key, raw, 0)
+	return err
+}
+
+func (b *Bed) firstBundle() error {
+	docs := b.config.Documents
+	for _, group := range b.config.Groups {
+		for i := range group.Services {
+			docs.Services = append(docs.Services, bundle.Service{
+				Name:                 ServiceName(group.Index, i),
+				SlotsPerServer:       group.Slots,
+				ConnectionsPerServer: group.Connections,
+			})
+		}
+	}
+	b.config.Documents = docs
+	_, err := b.Submit(docs, "first")
+	return err
+}
+
+// Documents are those of the first bundle, with the services of the groups.
+func (b *Bed) Documents() bundle.Documents { return b.config.Documents }
+
+// Submit signs and submits documents as the next generation.
+func (b *Bed) Submit(docs bundle.Documents, reason string) (rollout.Receipt, error) {
+	change, err := rollout.Propose(b.ctx, b.Platform, docs, bundle.Proposal{
+		Author:  b.keys[0].Name,
+		Reason:  reason,
+		Created: time.Now(),
+	})
+	if err != nil {
+		return rollout.Receipt{}, err
+	}
+	for _, key := range b.keys {
+		change = change.Sign(key)
+	}
+	return rollout.Submit(b.ctx, b.Platform, b.signers, change)
+}
+
+// TokenHash is the hexadecimal SHA-256 of a caller's token, for documents.
+func TokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Close ends everything at once, without planned stops.
+func (b *Bed) Close() {
+	for _, host := range b.Hosts() {
+		host.Kill()
+	}
+	for _, standIn := range b.Backends {
+		_ = standIn.Close()
+	}
+	_ = b.Platform.Close()
+}
