--- /dev/null
+++ b/home/dispatch.go
@@ -0,0 +1,205 @@
+package home
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// refusingAfter is how long a service must have given no answer, while all
+	// its servers refuse, before its legs fail at once.
+	refusingAfter = 500 * time.Millisecond
+	// refusalsInARow is how often each server must have refused by then.
+	refusalsInARow = 3
+	// noBackendRetry is what callers are told when no server is in service.
+	noBackendRetry = time.Second
+)
+
+// dispatch drops what can't be met any more and starts what can be started.
+func (h *Home) dispatch(now time.Time, acts []Action) []Action {
+	h.survey(now)
+	acts = h.dropLate(now, acts)
+	acts = h.dropUnservable(now, acts)
+	h.queueHedges(now)
+	var skip uint
+	for h.hasFreeSlot(now) {
+		c := h.nextClass(now, skip)
+		if c == nil {
+			return acts
+		}
+		l, s, hedge := h.pick(c, now)
+		if l == nil {
+			skip |= 1 << c.index
+			continue
+		}
+		acts = append(acts, h.start(c, l, s, hedge, now))
+	}
+	return acts
+}
+
+// survey works out what all decisions of this moment need.
+func (h *Home) survey(now time.Time) {
+	h.anyWarm, h.usableCount, h.totalSlots = false, 0, 0
+	for _, s := range h.servers {
+		if !s.inService() {
+			continue
+		}
+		h.totalSlots += s.slots
+		if s.usable(now) {
+			h.usableCount++
+			h.anyWarm = h.anyWarm || s.warm
+		}
+	}
+}
+
+func (h *Home) hasFreeSlot(now time.Time) bool {
+	for _, s := range h.servers {
+		if s.usable(now) && len(s.running) < s.limit(h.anyWarm) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) start(c *class, l *leg, s *server, hedge bool, now time.Time) Action {
+	if hedge {
+		h.hedgeBudget.Spend()
+		l.hedged = true
+	}
+	h.unqueue(l)
+	h.nextAttempt++
+	a := &attempt{id: h.nextAttempt, leg: l, server: s, started: now, hedge: hedge, charged: c.prior(now)}
+	h.attempts[a.id] = a
+	s.running = append(s.running, a)
+	l.addAttempt(a)
+	l.started++
+	c.running++
+	c.charge(a.charged)
+	if !hedge && l.Idempotent {
+		c.watch.push(a)
+	}
+	return Action{
+		Kind: ActionStart, Leg: l.ID, Attempt: a.id, Server: s.spec.Name,
+		Hedge: hedge, Retry: !hedge && l.started > 1,
+	}
+}
+
+// admits decides whether a leg may wait here.
+//
+// Load: more work than the service can do. Harm prevented: a queue that grows
+// until every leg in it is late, and a host that runs out of memory. Reason
+// for the limits: the class's MaxQueue and the home's bytes; and a leg whose
+// queue ahead alone takes longer than it has is told so now.
+func (h *Home) admits(c *class, l *leg, now time.Time) (result.Code, bool) {
+	switch {
+	case h.known && !h.anyInService():
+		return result.NoBackend, false
+	case !h.canMeet(l, now):
+		return result.DeadlineUnmeetable, false
+	case c.waiting.len() >= c.spec.MaxQueue || h.bytes+l.Bytes > h.cfg.MaxQueueBytes:
+		return result.Overloaded, false
+	case h.waitAhead(c, l, now) > l.Deadline.Sub(now):
+		return result.DeadlineUnmeetable, false
+	default:
+		return 0, true
+	}
+}
+
+// waitAhead is the least wait of a leg at its place in the queue: as if its
+// class had every slot.
+func (h *Home) waitAhead(c *class, l *leg, now time.Time) time.Duration {
+	ahead := c.waiting.position(l)
+	seconds := float64(ahead) * c.prior(now) / float64(max(1, h.totalSlots))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// canMeet reports whether a fast answer would still be in time.
+func (h *Home) canMeet(l *leg, now time.Time) bool {
+	return now.Add(h.classes[l.Class].leastTime).Before(l.Deadline)
+}
+
+// dropLate drops waiting legs whose answer would come too late: the slot is
+// for a leg that can still be answered.
+func (h *Home) dropLate(now time.Time, acts []Action) []Action {
+	for i := range h.classes {
+		c := &h.classes[i]
+		for c.waiting.len() > 0 && !h.canMeet(c.waiting.legs[0], now) {
+			l := c.waiting.legs[0]
+			acts = h.fail(l, l.failCode(result.DeadlineUnmeetable), h.retryAfter(now, 0), acts)
+		}
+		for c.hedges.len() > 0 && !h.canMeet(c.hedges.legs[0], now) {
+			h.unqueue(c.hedges.legs[0])
+		}
+	}
+	return acts
+}
+
+// dropUnservable fails all waiting legs when no server is in service, or when
+// the whole service refuses.
+//
+// Load: every server of a service sheds for seconds. Harm prevented: legs are
+// held until their deadline for nothing, and callers can't go elsewhere.
+// Servers are still asked when their pauses end, by legs that come then.
+func (h *Home) dropUnservable(now time.Time, acts []Action) []Action {
+	if !h.known {
+		return acts
+	}
+	code, wait := result.NoBackend, noBackendRetry
+	if h.anyInService() {
+		if !h.allRefuse(now) {
+			return acts
+		}
+		code, wait = result.BackendsRefused, h.retryAfter(now, 0)
+	}
+	for i := range h.classes {
+		c := &h.classes[i]
+		for c.waiting.len() > 0 {
+			l := c.waiting.legs[c.waiting.len()-1]
+			acts = h.fail(l, l.failCode(code), wait, acts)
+		}
+	}
+	return acts
+}
+
+func (h *Home) anyInService() bool {
+	for _, s := range h.servers {
+		if s.inService() {
+			return true
+		}
+	}
+	return false
+}
+
+// allRefuse reports whether each server in service refused several times in a
+// row and pauses, and nothing runs.
+func (h *Home) allRefuse(now time.Time) bool {
+	if now.Sub(h.lastGood) < refusingAfter {
+		return false
+	}
+	for _, s := range h.servers {
+		if s.inService() && (s.usable(now) || len(s.running) > 0 || s.refusals+s.faults < refusalsInARow) {
+			return false
+		}
+	}
+	return true
+}
+
+// nextAvailable is when the first server in service takes work.
+func (h *Home) nextAvailable(now time.Time) time.Time {
+	var next time.Time
+	for _, s := range h.servers {
+		if !s.inService() {
+			continue
+		}
+		if s.usable(now) {
+			return now
+		}
+		next = earlier(next, s.availableAt())
+	}
+	return next
+}
+
+// LastAttempt is the highest attempt id in use.
+func (h *Home) LastAttempt() ident.AttemptID { return h.nextAttempt }
--- a/home/home.go
+++ b/home/home.go
@@ -87,7 +87,8 @@
 	Service        string
 	SlotsPerServer int
 	Classes        []ClassSpec
-	HedgeBudget    float64 // extra attempts per leg
-	HedgeQuantile  float64
-	RetryBudget    float64 // retries per leg
+	HedgeBudget    float64 // extra attempts per leg; 0: no hedging
+	HedgeQuantile  float64 // of the service time, past which a leg may be hedged
+	RetryBudget    float64 // retries per leg; 0: no retries
+	MaxQueueBytes  int     // of waiting bodies of all classes; 0: defaultMaxQueueBytes
 }
--- /dev/null
+++ b/home/learn.go
@@ -0,0 +1,121 @@
+package home
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+)
+
+// healthyFactor: servers within it of the fastest set the quantiles of the
+// class. A slow server's times would raise the hedge age for all.
+const healthyFactor = 2
+
+// learn takes what an attempt's end says of its server.
+func (h *Home) learn(now time.Time, a *attempt, end End) {
+	s := a.server
+	if end.HasLoad {
+		s.hear(now, end.Load)
+	}
+	switch {
+	case answers(end):
+		h.lastGood = now
+		s.answered()
+		h.observe(now, a, true)
+	case end.Fault == backend.FaultDraining:
+		s.draining = true
+	case end.Fault == backend.FaultCancelled:
+		h.observe(now, a, false)
+	case countsAsRefusal(end):
+		s.refused(now, h.slotTime(a, now), end.RetryAfter)
+	case countsAsFault(end):
+		h.observeFault(now, a, end)
+	}
+}
+
+// slotTime is how long until a slot of a full server is free, on average.
+func (h *Home) slotTime(a *attempt, now time.Time) time.Duration {
+	c := &h.classes[a.leg.Class]
+	seconds := a.server.expected(c.index, c.prior(now), now) / float64(max(1, a.server.slots))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// observe adds an attempt's time to what is known of its server and class. A
+// cancelled attempt took at least its age; those that lost to their first
+// attempt are left out of the quantiles, their ages say nothing.
+func (h *Home) observe(now time.Time, a *attempt, completed bool) {
+	spent := now.Sub(a.started)
+	c := &h.classes[a.leg.Class]
+	a.server.times[c.index].observe(now, spent, completed)
+	if !h.healthy(a.server, c, now) {
+		return
+	}
+	c.times.observe(now, spent, completed)
+	if !completed && a.hedge {
+		return
+	}
+	c.observed.add(spent)
+	c.sinceRefresh++
+	if c.sinceRefresh >= refreshEvery || c.slowTime == 0 {
+		c.refresh(h.cfg.HedgeQuantile)
+	}
+}
+
+func (c *class) refresh(slowQuantile float64) {
+	slow, ok := c.observed.quantile(slowQuantile)
+	if !ok {
+		return
+	}
+	c.sinceRefresh = 0
+	c.slowTime = slow
+	c.leastTime, _ = c.observed.quantile(leastQuantile)
+}
+
+func (h *Home) healthy(s *server, c *class, now time.Time) bool {
+	prior := c.prior(now)
+	own := s.expected(c.index, prior, now)
+	for _, other := range h.servers {
+		if other == s || !other.inService() || !other.times[c.index].known(now) {
+			continue
+		}
+		if own > healthyFactor*other.expected(c.index, prior, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// observeFault counts a fault and ejects the server when it is due.
+//
+// Load: one server is down or fails all it gets, and its quick failures make
+// it look free. Harm prevented: every leg goes there first. Reason for the
+// bound: at most half of the servers are ejected, so that a signal that is
+// wrong for all of them (a bad network here, a request that fails everywhere)
+// can't empty the service; the others only pause.
+func (h *Home) observeFault(now time.Time, a *attempt, end End) {
+	s := a.server
+	if end.Fault == backend.FaultDeadline || end.Fault == backend.FaultSilent {
+		s.times[a.leg.Class].observe(now, now.Sub(a.started), false)
+	}
+	if !s.failed() {
+		return
+	}
+	if h.mayEject(s, now) {
+		s.eject(now)
+		return
+	}
+	s.refused(now, h.slotTime(a, now), end.RetryAfter)
+}
+
+func (h *Home) mayEject(s *server, now time.Time) bool {
+	inService, ejected := 0, 0
+	for _, other := range h.servers {
+		if !other.inService() {
+			continue
+		}
+		inService++
+		if other != s && now.Before(other.ejectedUntil) {
+			ejected++
+		}
+	}
+	return ejected < inService/2
+}
--- /dev/null
+++ b/home/server.go
@@ -0,0 +1,185 @@
+package home
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// reportLife is how long a server's own word on its load counts.
+	reportLife = time.Second
+	// warmAfter is how many answers a new server gives before it gets as much
+	// at once as the others.
+	warmAfter = 16
+	// leastPause and mostPause bound the pause after a refusal. The longest
+	// one is how late a recovered server is noticed.
+	leastPause = time.Millisecond
+	mostPause  = 250 * time.Millisecond
+	// faultsToEject: fewer would eject a server for one broken connection.
+	faultsToEject = 3
+	// leastEjection doubles with each ejection in a row up to mostEjection.
+	leastEjection = 200 * time.Millisecond
+	mostEjection  = 5 * time.Second
+)
+
+// server is what the home knows of one backend server.
+type server struct {
+	spec    ServerSpec
+	slots   int
+	running []*attempt
+	times   []meanTime // by class
+
+	draining     bool
+	warm         bool
+	answers      int // since the start of its incarnation
+	refusals     int // in a row
+	pausedUntil  time.Time
+	faults       int // in a row
+	ejections    int // in a row
+	ejectedUntil time.Time
+
+	others     int // requests that are not this home's, by the server's report
+	reportedAt time.Time
+}
+
+func newServer(spec ServerSpec, cfg *Config, warm bool) *server {
+	return &server{
+		spec:    spec,
+		slots:   cfg.SlotsPerServer,
+		running: make([]*attempt, 0, cfg.SlotsPerServer),
+		times:   make([]meanTime, len(cfg.Classes)),
+		warm:    warm,
+	}
+}
+
+// inService reports whether the server may get work at all. A drain that the
+// server itself announced lasts until a new incarnation, whatever other
+// signals say.
+func (s *server) inService() bool { return !s.spec.Leaving && !s.draining }
+
+// usable reports whether the server may get work now.
+func (s *server) usable(now time.Time) bool {
+	return s.inService() && !now.Before(s.pausedUntil) && !now.Before(s.ejectedUntil)
+}
+
+// availableAt is when a server in service is usable again.
+func (s *server) availableAt() time.Time {
+	if s.ejectedUntil.After(s.pausedUntil) {
+		return s.ejectedUntil
+	}
+	return s.pausedUntil
+}
+
+// limit is how many attempts the server may run at once.
+//
+// Load: one server of a service was restarted and its caches are cold. Harm
+// prevented: it looks idle, takes half of the legs, and each is a straggler.
+// Reason for the slow start by answers: a cold server earns its share as fast
+// as it answers, and costs at most a slot meanwhile. When no server is warm
+// (the whole service restarted) a limit would only take capacity away.
+func (s *server) limit(anyWarm bool) int {
+	if s.warm || !anyWarm {
+		return s.slots
+	}
+	return 1 + s.answers*(s.slots-1)/warmAfter
+}
+
+// expected is the service time in seconds to expect for a class, counting the
+// requests that still run with their ages.
+func (s *server) expected(class int, prior float64, now time.Time) float64 {
+	ages := 0.0
+	for _, a := range s.running {
+		if a.leg.Class == class {
+			ages += now.Sub(a.started).Seconds()
+		}
+	}
+	return s.times[class].mean(now, ages, prior)
+}
+
+// othersShare is how much of the server others use, from 0 to 1, as far as its
+// report is fresh. It only breaks ties: reports lag and mislead.
+func (s *server) othersShare(now time.Time) float64 {
+	if s.others == 0 || now.Sub(s.reportedAt) > reportLife {
+		return 0
+	}
+	return min(1, float64(s.others)/float64(s.slots))
+}
+
+func (s *server) drop(a *attempt) {
+	for i := range s.running {
+		if s.running[i] == a {
+			last := len(s.running) - 1
+			s.running[i] = s.running[last]
+			s.running[last] = nil
+			s.running = s.running[:last]
+			return
+		}
+	}
+}
+
+// hear takes in the load report of a reply.
+func (s *server) hear(now time.Time, load backend.Load) {
+	if load.Draining {
+		s.draining = true
+	}
+	s.others = max(0, load.Running+load.Queued-len(s.running))
+	s.reportedAt = now
+}
+
+// answered notes a reply to use: all suspicion ends.
+func (s *server) answered() {
+	s.answers++
+	if s.answers >= warmAfter {
+		s.warm = true
+	}
+	s.refusals, s.faults, s.ejections = 0, 0, 0
+	s.pausedUntil, s.ejectedUntil = time.Time{}, time.Time{}
+}
+
+// refused pauses the server after it refused before it ran anything.
+//
+// Load: two hosts act as the home for a moment and use the same slots, or the
+// server sheds for reasons of its own. Harm prevented: legs bounce off a full
+// server as fast as the network carries them. Reason for the doubling: the
+// first pause is about the time until a slot is free; a server that refuses
+// again and again is asked a few times a second only.
+func (s *server) refused(now time.Time, slotTime, hint time.Duration) {
+	pause := max(slotTime, leastPause) << min(s.refusals, 8)
+	s.refusals++
+	pause = max(min(pause, mostPause), min(hint, time.Second))
+	s.pausedUntil = now.Add(pause)
+}
+
+// failed notes a fault and reports whether the server should be ejected.
+func (s *server) failed() bool {
+	s.faults++
+	return s.faults >= faultsToEject
+}
+
+// eject takes the server out for a while.
+func (s *server) eject(now time.Time) {
+	s.ejectedUntil = now.Add(min(leastEjection<<min(s.ejections, 10), mostEjection))
+	s.ejections++
+	s.faults = faultsToEject - 1 // the first fault after it ejects again
+}
+
+// countsAsFault reports whether an end speaks against the server. A refusal is
+// the server's right; a snapshot it lacks or a call that was cancelled is no
+// fault of its.
+func countsAsFault(end End) bool {
+	switch end.Fault {
+	case backend.FaultUnreachable, backend.FaultDeadline, backend.FaultSilent, backend.FaultBroken,
+		backend.FaultHalfReply, backend.FaultCrossed, backend.FaultServer:
+		return true
+	default:
+		return false
+	}
+}
+
+// countsAsRefusal reports whether the server had no room for the attempt.
+func countsAsRefusal(end End) bool {
+	return end.Fault == backend.FaultShed || end.Fault == backend.FaultConnectionLimit ||
+		(end.Outcome == result.OutcomeRefused && end.Fault == backend.FaultNone)
+}
--- /dev/null
+++ b/home/settle.go
@@ -0,0 +1,155 @@
+package home
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// retryBurst is how many retries may be sent beyond the budget's rate.
+	retryBurst = 10
+	// maxAttempts bounds one leg's share of the retry budget.
+	maxAttempts = 6
+	// maxUnknowns is how many attempts of an idempotent leg may end unknown: a
+	// request that crashes each server that runs it takes down two at most
+	// before its leg gives up.
+	maxUnknowns = 2
+)
+
+// settle decides what an attempt's end means for its leg, which still waits.
+func (h *Home) settle(now time.Time, a *attempt, end End, acts []Action) []Action {
+	l := a.leg
+	if answers(end) {
+		return h.answer(now, a, acts)
+	}
+	l.note(end.Outcome)
+	h.noteFailure(l, end)
+	if l.runningCount() > 0 {
+		return acts // the other attempt may still answer
+	}
+	h.unqueue(l)
+	if !h.mayRetry(l, end, now) {
+		return h.fail(l, finalCode(l, end), end.RetryAfter, acts)
+	}
+	if !h.retryBudget.Spend() {
+		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
+	}
+	l.avoid = a.server
+	l.place = inWaiting
+	h.bytes += l.Bytes
+	h.classes[l.Class].waiting.insert(l)
+	return acts
+}
+
+func answers(end End) bool {
+	return end.Outcome == result.OutcomeRan && end.Fault == backend.FaultNone
+}
+
+func (h *Home) noteFailure(l *leg, end End) {
+	switch end.Outcome {
+	case result.OutcomeUnknown:
+		l.unknowns++
+	case result.OutcomeRan:
+		l.ran = result.BackendFailed
+		if end.Fault == backend.FaultSnapshotMismatch {
+			l.ran = result.SnapshotGone
+		}
+	}
+}
+
+// mayRetry: an attempt that surely did not run may move on; after an unknown
+// end, or a reply from another snapshot, only an idempotent leg may. A request
+// that ran and failed would fail again.
+//
+// Load: a service of which every server refuses. Harm prevented: a retry
+// storm, and a booking that runs twice. See retry.Budget for the limit.
+func (h *Home) mayRetry(l *leg, end End, now time.Time) bool {
+	if h.cfg.RetryBudget <= 0 || l.started >= maxAttempts || !h.canMeet(l, now) {
+		return false
+	}
+	if !l.worst.NotRun() && !l.Idempotent {
+		return false
+	}
+	switch {
+	case end.Outcome.NotRun():
+		return true
+	case end.Outcome == result.OutcomeUnknown:
+		return l.unknowns < maxUnknowns
+	default:
+		return end.Fault == backend.FaultSnapshotMismatch
+	}
+}
+
+func finalCode(l *leg, end End) result.Code {
+	if end.Fault == backend.FaultDeadline && l.Idempotent {
+		return result.DeadlineExceeded
+	}
+	return l.failCode(result.BackendsRefused)
+}
+
+// answer ends the leg with the attempt's reply and cancels the other attempt.
+func (h *Home) answer(now time.Time, a *attempt, acts []Action) []Action {
+	l := a.leg
+	acts = append(acts, Action{Kind: ActionAnswer, Leg: l.ID, Attempt: a.id, Server: a.server.spec.Name, Hedge: a.hedge, Outcome: result.OutcomeRan})
+	h.remove(l)
+	return h.cancelAttempts(l, acts)
+}
+
+func (h *Home) cancelAttempts(l *leg, acts []Action) []Action {
+	for _, a := range l.attempts {
+		if a == nil || a.cancelled {
+			continue
+		}
+		a.cancelled = true
+		acts = append(acts, Action{Kind: ActionCancel, Leg: l.ID, Attempt: a.id, Server: a.server.spec.Name, Hedge: a.hedge})
+	}
+	return acts
+}
+
+// fail ends the leg without an answer, at once: the caller's time is better
+// spent elsewhere.
+func (h *Home) fail(l *leg, code result.Code, retryAfter time.Duration, acts []Action) []Action {
+	h.remove(l)
+	return append(acts, Action{Kind: ActionFail, Leg: l.ID, Code: code, Outcome: l.worst, RetryAfter: retryAfter})
+}
+
+// remove forgets a leg that is done; its attempts end later.
+func (h *Home) remove(l *leg) {
+	h.unqueue(l)
+	l.done = true
+	delete(h.legs, l.ID)
+}
+
+func (h *Home) unqueue(l *leg) {
+	c := &h.classes[l.Class]
+	switch l.place {
+	case inWaiting:
+		h.bytes -= l.Bytes
+		c.waiting.remove(l)
+	case inHedges:
+		c.hedges.remove(l)
+	}
+	l.place = notQueued
+}
+
+// retryAfter is when it is worth sending again: once the queue is drained and
+// a server takes work.
+func (h *Home) retryAfter(now time.Time, hint time.Duration) time.Duration {
+	wait := hint
+	if at := h.nextAvailable(now); at.After(now) {
+		wait = max(wait, at.Sub(now))
+	}
+	return max(wait, h.drainTime(now), leastPause)
+}
+
+// drainTime is how long the waiting legs keep the slots busy.
+func (h *Home) drainTime(now time.Time) time.Duration {
+	seconds := 0.0
+	for i := range h.classes {
+		c := &h.classes[i]
+		seconds += float64(c.waiting.len()) * c.prior(now)
+	}
+	return time.Duration(seconds / float64(max(1, h.totalSlots)) * float64(time.Second))
+}
--- a/home/state.go
+++ b/home/state.go
@@ -1,81 +1,103 @@
 package home
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/retry"
 )
 
+// defaultMaxQueueBytes bounds the bodies that wait at one home, so that a few
+// callers with large bodies can't use up the memory of a small host.
+const defaultMaxQueueBytes = 4 << 20
+
 // Home is the decision state of one service. It is not safe for concurrent
 // use: its shell calls it from one goroutine at a time.
 type Home struct {
 	cfg         Config
-	servers     map[string]*server
-	order       []string // server names, sorted, so that ties resolve the same way
+	servers     []*server // by name, so that ties resolve the same way
+	known       bool      // SetServers was called
+	classes     []class
 	legs        map[LegID]*leg
-	waiting     []*leg // by deadline, then request id
 	attempts    map[ident.AttemptID]*attempt
 	nextAttempt ident.AttemptID
-}
-
-type server struct {
-	spec    ServerSpec
-	running int
-}
-
-type leg struct {
-	Leg
-	running int
-	worst   result.Outcome // least certain outcome so far; starts as unsent
-	tried   bool
-}
+	hedgeBudget retry.Budget
+	retryBudget retry.Budget
+	bytes       int       // of waiting bodies
+	lastGood    time.Time // a server last gave an answer, or the first was known
 
-type attempt struct {
-	leg    *leg
-	server string
+	// worked out by survey
+	totalSlots, usableCount int
+	anyWarm                 bool
 }
 
 // New makes the home of a service. Attempt ids start after firstAttempt, so
 // that the homes of one host never share one.
 func New(cfg Config, firstAttempt ident.AttemptID) *Home {
-	return &Home{
+	if cfg.MaxQueueBytes == 0 {
+		cfg.MaxQueueBytes = defaultMaxQueueBytes
+	}
+	h := &Home{
 		cfg:         cfg,
-		servers:     make(map[string]*server),
+		classes:     make([]class, len(cfg.Classes)),
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		nextAttempt: firstAttempt,
+		hedgeBudget: retry.NewBudget(cfg.HedgeBudget, hedgeBurst),
+		retryBudget: retry.NewBudget(cfg.RetryBudget, retryBurst),
+	}
+	for i := range h.classes {
+		h.classes[i] = class{spec: cfg.Classes[i], index: i}
 	}
+	return h
 }
 
-// SetServers replaces the known backend servers of the service.
+// SetServers replaces the known backend servers of the service. A server with
+// a new incarnation starts afresh.
 func (h *Home) SetServers(now time.Time, specs []ServerSpec, acts []Action) []Action {
-	next := make(map[string]*server, len(specs))
-	h.order = h.order[:0]
+	next := make([]*server, 0, len(specs))
 	for _, spec := range specs {
-		s := h.servers[spec.Name]
+		s := h.find(spec.Name)
 		if s == nil || s.spec.Incarnation != spec.Incarnation {
-			s = &server{}
+			s = newServer(spec, &h.cfg, !h.known)
 		}
 		s.spec = spec
-		next[spec.Name] = s
-		h.order = append(h.order, spec.Name)
+		next = append(next, s)
 	}
-	sort.Strings(h.order)
+	slices.SortFunc(next, func(a, b *server) int { return strings.Compare(a.spec.Name, b.spec.Name) })
 	h.servers = next
+	if !h.known {
+		h.known, h.lastGood = true, now
+	}
 	return h.dispatch(now, acts)
 }
 
-// Submit takes a leg in; it starts, waits or fails at once.
-func (h *Home) Submit(now time.Time, l Leg, acts []Action) []Action {
-	if !now.Before(l.Deadline) {
-		return append(acts, Action{Kind: ActionFail, Leg: l.ID, Code: result.DeadlineUnmeetable, Outcome: result.OutcomeUnsent})
+func (h *Home) find(name string) *server {
+	for _, s := range h.servers {
+		if s.spec.Name == name {
+			return s
+		}
 	}
-	entry := &leg{Leg: l, worst: result.OutcomeUnsent}
-	h.legs[l.ID] = entry
-	h.enqueue(entry)
+	return nil
+}
+
+// Submit takes a leg in; it starts, waits or fails at once.
+func (h *Home) Submit(now time.Time, in Leg, acts []Action) []Action {
+	l := &leg{Leg: in, worst: result.OutcomeUnsent}
+	c := &h.classes[in.Class]
+	h.wake(c, now)
+	if code, ok := h.admits(c, l, now); !ok {
+		return append(acts, Action{Kind: ActionFail, Leg: in.ID, Code: code, Outcome: l.worst, RetryAfter: h.retryAfter(now, 0)})
+	}
+	h.hedgeBudget.Earn()
+	h.retryBudget.Earn()
+	h.legs[in.ID] = l
+	l.place = inWaiting
+	h.bytes += l.Bytes
+	c.waiting.insert(l)
 	return h.dispatch(now, acts)
 }
 
@@ -86,124 +108,62 @@
 		return acts
 	}
 	delete(h.attempts, id)
-	if s := h.servers[a.server]; s != nil {
-		s.running--
-	}
-	a.leg.running--
-	if h.legs[a.leg.ID] == a.leg {
-		acts = h.settle(id, a, end, acts)
+	a.server.drop(a)
+	a.leg.dropAttempt(a)
+	c := &h.classes[a.leg.Class]
+	c.running--
+	c.watch.remove(a)
+	c.charge(now.Sub(a.started).Seconds() - a.charged)
+	h.learn(now, a, end)
+	if !a.leg.done {
+		acts = h.settle(now, a, end, acts)
 	}
 	return h.dispatch(now, acts)
 }
 
-func (h *Home) settle(id ident.AttemptID, a *attempt, end End, acts []Action) []Action {
-	l := a.leg
-	if end.Outcome == result.OutcomeRan && end.Fault == backend.FaultNone {
-		delete(h.legs, l.ID)
-		return append(acts, Action{Kind: ActionAnswer, Leg: l.ID, Attempt: id, Outcome: result.OutcomeRan})
-	}
-	if !end.Outcome.NotRun() {
-		l.worst = end.Outcome
-	}
-	delete(h.legs, l.ID)
-	code := result.OutcomeNotKnown
-	if l.worst.NotRun() {
-		code = result.BackendsRefused
-	}
-	return append(acts, Action{Kind: ActionFail, Leg: l.ID, Code: code, Outcome: l.worst, RetryAfter: end.RetryAfter})
-}
-
 // Cancel drops a leg whose caller no longer waits; running attempts are cancelled.
 func (h *Home) Cancel(now time.Time, id LegID, acts []Action) []Action {
 	l, ok := h.legs[id]
 	if !ok {
 		return acts
 	}
-	delete(h.legs, id)
-	h.unqueue(l)
-	for attemptID, a := range h.attempts {
-		if a.leg == l {
-			acts = append(acts, Action{Kind: ActionCancel, Leg: id, Attempt: attemptID, Server: a.server})
-		}
-	}
-	return h.dispatch(now, acts)
+	h.remove(l)
+	return h.dispatch(now, h.cancelAttempts(l, acts))
 }
 
-// Tick does what is due at now: deadlines, hedges, ageing.
+// Tick does what is due at now: deadlines, hedges, ends of pauses.
 func (h *Home) Tick(now time.Time, acts []Action) []Action {
-	for _, l := range append([]*leg(nil), h.waiting...) {
-		if now.Before(l.Deadline) {
-			break
-		}
-		h.unqueue(l)
-		delete(h.legs, l.ID)
-		acts = append(acts, Action{Kind: ActionFail, Leg: l.ID, Code: result.DeadlineUnmeetable, Outcome: l.worst})
-	}
 	return h.dispatch(now, acts)
 }
 
 // NextTick is when Tick wants to be called next; zero: not needed.
 func (h *Home) NextTick() time.Time {
-	if len(h.waiting) == 0 {
-		return time.Time{}
-	}
-	return h.waiting[0].Deadline
-}
-
-func (h *Home) enqueue(l *leg) {
-	i := sort.Search(len(h.waiting), func(i int) bool { return before(l, h.waiting[i]) })
-	h.waiting = append(h.waiting, nil)
-	copy(h.waiting[i+1:], h.waiting[i:])
-	h.waiting[i] = l
-}
-
-func (h *Home) unqueue(l *leg) {
-	for i := range h.waiting {
-		if h.waiting[i] == l {
-			h.waiting = append(h.waiting[:i], h.waiting[i+1:]...)
-			return
+	var next time.Time
+	waiting := false
+	for i := range h.classes {
+		c := &h.classes[i]
+		if age := h.hedgeAge(c); c.watch.head != nil && age > 0 {
+			next = earlier(next, c.watch.head.started.Add(age))
+		}
+		if c.waiting.len() > 0 {
+			waiting = true
+			next = earlier(next, c.waiting.legs[0].Deadline.Add(-c.leastTime))
 		}
 	}
-}
-
-// before is the order of every home's queue: the earliest deadline first, ties
-// by request id, so that all legs of one query rank alike at every home and
-// queries finish whole.
-func before(a, b *leg) bool {
-	if !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+	if !waiting {
+		return next
 	}
-	return a.Request.Less(b.Request)
-}
-
-func (h *Home) dispatch(now time.Time, acts []Action) []Action {
-	for len(h.waiting) > 0 {
-		name, ok := h.idlest()
-		if !ok {
-			return acts
+	for _, s := range h.servers {
+		if at := s.availableAt(); s.inService() && !at.IsZero() && len(s.running) == 0 {
+			next = earlier(next, at)
 		}
-		l := h.waiting[0]
-		h.waiting = h.waiting[1:]
-		h.nextAttempt++
-		h.attempts[h.nextAttempt] = &attempt{leg: l, server: name}
-		h.servers[name].running++
-		l.running++
-		acts = append(acts, Action{Kind: ActionStart, Leg: l.ID, Attempt: h.nextAttempt, Server: name, Retry: l.tried})
-		l.tried = true
 	}
-	return acts
+	return next
 }
 
-func (h *Home) idlest() (string, bool) {
-	best, found := "", false
-	for _, name := range h.order {
-		s := h.servers[name]
-		if s.spec.Leaving || s.running >= h.cfg.SlotsPerServer {
-			continue
-		}
-		if !found || s.running < h.servers[best].running {
-			best, found = name, true
-		}
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	return best, found
+	return a
 }
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,51 @@
+// Package retry bounds how much extra work retries and hedges may add to what
+// callers asked for. A budget is earned by first attempts and spent by extra
+// ones, so the extra load stays a fixed share of the load whatever fails.
+package retry
+
+// Budget is a token bucket that is filled by work, not by time. The zero value
+// allows nothing. It is not safe for concurrent use.
+//
+// Load: a service of which every backend server refuses or is slow. Harm
+// prevented: each refusal calls for another attempt, and the attempts keep the
+// servers overloaded after the cause is gone. Reason for earning by first
+// attempts: the extra load is then at most ratio of the callers' load, also
+// when that load is ten times the usual.
+type Budget struct {
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget makes a budget that earns ratio tokens for each first attempt and
+// holds at most burst. It starts full, so that a quiet service can retry its
+// first refusal.
+func NewBudget(ratio, burst float64) Budget {
+	if ratio <= 0 {
+		return Budget{}
+	}
+	return Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// Earn counts one first attempt.
+func (b *Budget) Earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
+
+// Allows reports whether one extra attempt could be paid.
+func (b *Budget) Allows() bool { return b.tokens >= 1 }
+
+// Spend pays for one extra attempt; false: there is nothing to pay it with.
+func (b *Budget) Spend() bool {
+	if !b.Allows() {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Fill is how full the bucket is, from 0 to 1.
+func (b *Budget) Fill() float64 {
+	if b.burst <= 0 {
+		return 0
+	}
+	return b.tokens / b.burst
+}
