--- a/cli/root.go
+++ b/cli/root.go
@@ -14,6 +14,7 @@
 	}
 	root.AddCommand(newServeCommand())
 	root.AddCommand(newDemoCommand())
+	root.AddCommand(newResultCodesCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
