--- a/demo/demo.go
+++ b/demo/demo.go
@@ -13,7 +13,6 @@
 
 	"github.com/goldcrestspan/goldcrestspan/client"
 	"github.com/goldcrestspan/goldcrestspan/platform"
-	"github.com/goldcrestspan/goldcrestspan/snapshot"
 	"github.com/goldcrestspan/goldcrestspan/testbed"
 )
 
@@ -56,9 +55,7 @@
 	defer bed.Close()
 	fmt.Fprintf(o.Out, "a signed bundle is in force on all hosts, generation %d\n", bed.Hosts()[0].Status().Generation)
 	d := &demo{bed: bed, options: o, report: newReport()}
-	d.checker = testbed.NewChecker(bed.Record, func(index string, version snapshot.Version) int {
-		return len(bed.ShardMap(index, version).Shards)
-	})
+	d.checker = testbed.NewChecker(bed.Record, bed.Published)
 	if err := d.run(ctx); err != nil {
 		return err
 	}
--- a/home/settle.go
+++ b/home/settle.go
@@ -103,6 +103,7 @@
 			continue
 		}
 		a.cancelled = true
+		h.classes[l.Class].watch.remove(a)
 		acts = append(acts, Action{Kind: ActionCancel, Leg: l.ID, Attempt: a.id, Server: a.server.spec.Name, Hedge: a.hedge})
 	}
 	return acts
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -58,6 +58,7 @@
 	work    Work
 	results chan arrival
 	cancels []func()
+	sentTo  []ident.HostID
 	moved   []bool // legs that went to the second home
 	maybe   []bool // of these, legs that may have run at the first
 	ended   atomic.Bool
@@ -81,6 +82,7 @@
 		work:    work,
 		results: make(chan arrival, homesPerLeg*len(shards)),
 		cancels: make([]func(), len(shards)),
+		sentTo:  make([]ident.HostID, len(shards)),
 		moved:   make([]bool, len(shards)),
 		maybe:   make([]bool, len(shards)),
 	}
@@ -107,6 +109,7 @@
 
 func (r *run) send(i int, host ident.HostID) {
 	request := r.request(i)
+	r.sentTo[i] = host
 	runner, ok := r.c.homes.Runner(host)
 	if !ok {
 		r.results <- arrival{i, leg.Failed(request, result.HomeUnavailable, result.OutcomeUnsent, "no home for the service")}
@@ -171,17 +174,27 @@
 	if !a.result.Outcome.NotRun() && !r.work.Idempotent {
 		return false
 	}
-	_, second := r.c.homes.Of(r.work.Snapshot.Shards[a.position].Service)
-	if second == "" {
+	other := r.otherHome(a.position)
+	if other == "" {
 		return false
 	}
 	r.moved[a.position] = true
 	r.maybe[a.position] = !a.result.Outcome.NotRun()
 	r.c.counter.Failover()
-	r.send(a.position, second)
+	r.send(a.position, other)
 	return true
 }
 
+// otherHome is the home to try when the one that the leg was sent to is lost.
+// It is the first one if membership has moved the home meanwhile.
+func (r *run) otherHome(position int) ident.HostID {
+	first, second := r.c.homes.Of(r.work.Snapshot.Shards[position].Service)
+	if first != r.sentTo[position] {
+		return first
+	}
+	return second
+}
+
 // cancelRest cancels what is under way. Cancelling a leg that has ended does
 // nothing; results that still come are left in the channel and dropped with it.
 func (r *run) cancelRest() {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -73,6 +73,8 @@
 	Attempts   int
 	Hedges     int
 	RetryAfter time.Duration
+	// Stale: the query ended early for a restart, see Plan.Restartable.
+	Stale bool
 }
 
 type shardState struct {
@@ -169,8 +171,7 @@
 		shard.code = result.SnapshotGone
 		shard.detail = "answered from another snapshot"
 	}
-	lacks := shard.code == result.SnapshotGone || shard.code == result.NoSnapshot
-	q.stale = q.stale || q.plan.Restartable && lacks
+	q.stale = q.stale || q.plan.Restartable && shard.code == result.NoSnapshot
 	if verdict == VerdictCorrupt {
 		shard.code = result.OutcomeNotKnown
 		shard.detail = "the reply was not whole"
@@ -192,6 +193,7 @@
 	q.closeOpen(result.Cancelled, "the caller went away")
 	q.finish()
 	q.answer.Code = result.Cancelled
+	q.answer.Parts = nil
 }
 
 func (q *Query) closeOpen(code result.Code, detail string) {
@@ -235,6 +237,7 @@
 		Total:    len(q.shards),
 		Attempts: q.attempts,
 		Hedges:   q.hedges,
+		Stale:    q.stale,
 	}
 	notRun := true
 	for i := range q.shards {
@@ -270,6 +273,7 @@
 	case len(a.Missing) == 0:
 		a.Code = result.Complete
 	case q.stale:
+		// Not a "not run" code: legs on other shards may have run.
 		a.Code = result.SnapshotGone
 	case q.covers(len(a.Parts)):
 		a.Code = result.Partial
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -122,6 +122,7 @@
 	q := NewQuery(plan)
 	q.Take(goodReply(1))
 	q.Take(failed(2, result.NoSnapshot, result.OutcomeRefused))
+	is.True(q.Answer().Stale)
 	is.Equal(q.Answer().Code, result.SnapshotGone)
 	is.Equal(len(q.Answer().Parts), 0)
 }
--- a/service.go
+++ b/service.go
@@ -65,21 +65,20 @@
 	return digest.Sum64()
 }
 
-// run runs a query, and once more, whole, on another snapshot if replicas
-// turned out to lack the pinned one and the time allows.
+// run runs a query, and once more, whole, if a replica turned out to lack the
+// pinned snapshot and the time allows. The second run is on the snapshot that
+// is best then; if that is the same one, its answer is partial.
 func (h *Host) run(ctx context.Context, q front.Query, work scatter.Work) *scatter.Answer {
 	started := h.parts.Now()
 	answer := h.parts.Coordinator.Run(ctx, work)
-	if answer.Code != result.SnapshotGone && answer.Code != result.NoSnapshot {
-		return answer
-	}
 	h.noteLacked(answer)
-	again, refused := h.plan(q)
-	if refused != nil || again.Snapshot == work.Snapshot || !work.Restartable {
+	if !answer.Stale {
 		return answer
 	}
+	again, refused := h.plan(q)
 	whole := q.Deadline.Sub(started)
-	if left := q.Deadline.Sub(h.parts.Now()); float64(left) < restartReserve*float64(whole) {
+	left := q.Deadline.Sub(h.parts.Now())
+	if refused != nil || float64(left) < restartReserve*float64(whole) {
 		return answer
 	}
 	again.Restartable = false
--- a/snapshot/tracker.go
+++ b/snapshot/tracker.go
@@ -80,14 +80,22 @@
 	delete(t.held, h)
 }
 
-// Pin returns the snapshot for a new query of the index; nil when there is none.
+// Pin returns the snapshot for a new query of the index; nil when there is
+// none. If no snapshot is held everywhere, it is the one whose shards are held
+// best: the query's coverage then says what is missing.
 func (t *Tracker) Pin(now time.Time, index string) *Snapshot {
+	var best *Snapshot
+	fewest := 0
 	for _, s := range t.published[index] {
-		if t.heldEverywhere(now, s) {
-			return s
+		lacking := t.lacking(now, s)
+		if best == nil || lacking < fewest {
+			best, fewest = s, lacking
+		}
+		if fewest == 0 {
+			break
 		}
 	}
-	return nil
+	return best
 }
 
 // Indexes lists the indexes that have a published snapshot, sorted.
@@ -100,13 +108,15 @@
 	return names
 }
 
-func (t *Tracker) heldEverywhere(now time.Time, s *Snapshot) bool {
+// lacking counts the shards that no replica is known to hold.
+func (t *Tracker) lacking(now time.Time, s *Snapshot) int {
+	n := 0
 	for _, shard := range s.Shards {
 		if !t.heldBy(now, shard.Service, s) {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // heldBy trusts what the service's servers said lately. Of a service that said
--- a/testbed/testbed.go
+++ b/testbed/testbed.go
@@ -73,9 +73,15 @@
 	keys            []bundle.SigningKey
 	ctx             context.Context
 
-	mu    sync.Mutex
-	hosts []*RunningHost
-	made  int
+	mu        sync.Mutex
+	hosts     []*RunningHost
+	made      int
+	published map[publishedKey]int // number of shards
+}
+
+type publishedKey struct {
+	index   string
+	version snapshot.Version
 }
 
 // RunningHost is one entry host of the bed.
@@ -96,6 +102,8 @@
 		Record:   standin.NewRecord(),
 		config:   config,
 		ctx:      ctx,
+
+		published: make(map[publishedKey]int),
 	}
 	for _, step := range []func() error{b.startPlatform, b.makeKeys, b.startBackends, b.publishAll, b.firstBundle, b.startHosts} {
 		if err := step(); err != nil {
@@ -235,11 +243,21 @@
 	if err != nil {
 		return err
 	}
+	b.mu.Lock()
+	b.published[publishedKey{s.Index, s.Version}] = len(s.Shards)
+	b.mu.Unlock()
 	key := fmt.Sprintf("%s%s/%d", catalog.SnapshotPrefix, s.Index, s.Version)
 	_, err = b.Platform.Put(b.ctx, key, raw, 0)
 	return err
 }
 
+// Published is the number of shards of a published snapshot; 0: none such.
+func (b *Bed) Published(index string, version snapshot.Version) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.published[publishedKey{index, version}]
+}
+
 func (b *Bed) firstBundle() error {
 	docs := b.config.Documents
 	for _, group := range b.config.Groups {
