--- a/rollout/head.go
+++ b/rollout/head.go
@@ -107,19 +107,32 @@
 	return acceptedHead{ref, manifest, value.Signed, value.contents(), object.Version}, nil
 }
 
-// readManifest reads an accepted manifest by generation, from the head or the
-// history.
-func readManifest(ctx context.Context, store platform.Store, current acceptedHead, generation uint64) (bundle.Signed, error) {
-	if generation == current.ref.Generation {
+// readManifest reads an accepted manifest from the head or the history.
+func readManifest(ctx context.Context, store platform.Store, current acceptedHead, ref bundle.Ref) (bundle.Signed, error) {
+	if ref == current.ref {
 		return current.signed, nil
 	}
-	object, err := store.Get(ctx, manifestKey(generation))
+	object, err := store.Get(ctx, manifestKey(ref))
 	if err != nil {
-		return bundle.Signed{}, errors.Wrapf(err, "read manifest of generation %d", generation)
+		return bundle.Signed{}, errors.Wrapf(err, "read manifest of generation %s", ref)
 	}
 	return bundle.DecodeSigned(object.Value)
 }
 
+// findManifest reads an accepted manifest by its generation alone.
+func findManifest(ctx context.Context, store platform.Store, generation uint64) (bundle.Signed, error) {
+	objects, err := store.List(ctx, generationPrefix(generation))
+	switch {
+	case err != nil:
+		return bundle.Signed{}, errors.Wrapf(err, "read manifest of generation %d", generation)
+	case len(objects) == 0:
+		return bundle.Signed{}, errors.Errorf("generation %d was never accepted; name one of bundle history", generation)
+	case len(objects) > 1:
+		return bundle.Signed{}, errors.Errorf("generation %d was accepted %d times, in a store that was set back; sign the documents themselves", generation, len(objects))
+	}
+	return bundle.DecodeSigned(objects[0].Value)
+}
+
 // readDocuments adds the documents of the parts that contents lacks.
 func readDocuments(ctx context.Context, store platform.Store, parts bundle.Parts, contents bundle.Contents) error {
 	for _, hash := range parts.Missing(contents) {
--- a/rollout/operators.go
+++ b/rollout/operators.go
@@ -51,7 +51,7 @@
 	if to == 0 || to >= current.ref.Generation {
 		return bundle.Change{}, errors.Errorf("generation %d can't be restored: the one in force is %s; name an earlier one of bundle history", to, current.ref)
 	}
-	signed, err := readManifest(ctx, store, current, to)
+	signed, err := findManifest(ctx, store, to)
 	if err != nil {
 		return bundle.Change{}, err
 	}
@@ -96,7 +96,7 @@
 		if m.Parent.IsZero() {
 			break
 		}
-		if signed, err = readManifest(ctx, store, current, m.Parent.Generation); err != nil {
+		if signed, err = readManifest(ctx, store, current, m.Parent); err != nil {
 			return accepted, err
 		}
 	}
--- a/rollout/submission.go
+++ b/rollout/submission.go
@@ -15,7 +15,7 @@
 	stepReadHead step = iota
 	// stepWriteHead moves the head from the version last read.
 	stepWriteHead
-	// stepReadHistory reads which manifest has the submission's generation.
+	// stepReadHistory reads whether the history has the submission's manifest.
 	stepReadHistory
 	// stepAccepted ends it: the manifest is or was the head.
 	stepAccepted
@@ -65,10 +65,10 @@
 	return stepReadHead
 }
 
-// onHistory decides from the manifest that was accepted with the submission's
-// generation; zero: none was.
-func (s submission) onHistory(accepted bundle.Ref) step {
-	if accepted == s.self {
+// onHistory decides from whether the history holds the submission's manifest.
+// Whoever moves the head on from a manifest has put it there before.
+func (s submission) onHistory(found bool) step {
+	if found {
 		return stepAccepted
 	}
 	return stepConflict
--- a/rollout/submit.go
+++ b/rollout/submit.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	return s.create(ctx, manifestKey(s.head.ref.Generation), parent)
+	return s.create(ctx, manifestKey(s.head.ref), parent)
 }
 
 // create writes an object that always has the same value, so one that is
@@ -226,18 +226,14 @@
 }
 
 func (s *submitter) readHistory(ctx context.Context) (step, error) {
-	signed, err := readManifest(ctx, s.store, s.head, s.logic.self.Generation)
+	_, err := readManifest(ctx, s.store, s.head, s.logic.self)
 	if errors.Is(err, platform.ErrNotFound) {
-		return s.logic.onHistory(bundle.Ref{}), nil
+		return s.logic.onHistory(false), nil
 	}
 	if err != nil {
 		return stepReadHistory, err
 	}
-	ref, _, err := refOf(signed)
-	if err != nil {
-		return stepReadHistory, err
-	}
-	return s.logic.onHistory(ref), nil
+	return s.logic.onHistory(true), nil
 }
 
 // retryable errors are outages; all others stay as they are.
@@ -279,7 +275,7 @@
 	}
 	var before bundle.Documents
 	if !parent.IsZero() {
-		signed, err := readManifest(ctx, store, current, parent.Generation)
+		signed, err := readManifest(ctx, store, current, parent)
 		if err != nil {
 			return nil, err
 		}
