--- a/rollout/head.go
+++ b/rollout/head.go
@@ -22,8 +22,12 @@
 	headDocumentsBytes = 256 << 10
 )
 
-func manifestKey(generation uint64) string {
-	return fmt.Sprintf("%s%020d", manifestsPrefix, generation)
+// manifestKey holds the hash, so that a store that was set back, where a
+// generation is accepted a second time, keeps both in its history.
+func manifestKey(ref bundle.Ref) string { return generationPrefix(ref.Generation) + ref.Hash.String() }
+
+func generationPrefix(generation uint64) string {
+	return fmt.Sprintf("%s%020d-", manifestsPrefix, generation)
 }
 
 func documentKey(hash bundle.Hash) string { return documentsPrefix + hash.String() }
