--- a/bundle/config.go
+++ b/bundle/config.go
@@ -181,16 +181,3 @@
 	o, ok := c.overrides[fingerprint]
 	return o, ok
 }
-
-// SameServices reports whether both configurations have the same services.
-func (c *Config) SameServices(other *Config) bool {
-	if len(c.services) != len(other.services) {
-		return false
-	}
-	for name, service := range c.services {
-		if theirs, ok := other.services[name]; !ok || *theirs != *service {
-			return false
-		}
-	}
-	return true
-}
--- a/control.go
+++ b/control.go
@@ -9,30 +9,32 @@
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 )
 
-// controlEvery is how often the control goroutine looks for what changed.
-const controlEvery = 20 * time.Millisecond
+// joinPoll is how often a starting host looks whether it can join.
+const joinPoll = 10 * time.Millisecond
 
-// control puts new configurations in force in the served path.
-func (h *Host) control(ctx context.Context) error {
-	ticker := time.NewTicker(controlEvery)
+// configure puts a configuration in force in the served path and tells peers.
+func (h *Host) configure(config *bundle.Config) {
+	h.parts.Local.Refresh()
+	news := h.parts.Rollout.News()
+	h.parts.Member.AnnounceConfig(news.GetGeneration(), news.GetManifestHash())
+	h.parts.Log.Info("configuration in force", zap.Uint64("generation", config.Generation))
+}
+
+// join waits until the host can serve and then takes part in the membership.
+//
+// Failure: a starting host that peers know becomes the home of services at
+// once, and queries lose those shards until it has its configuration and knows
+// the backend servers. It shows as "not ready" for single shards. The guard
+// holds because peers only ever hear of hosts that are ready.
+func (h *Host) join(ctx context.Context) error {
+	ticker := time.NewTicker(joinPoll)
 	defer ticker.Stop()
-	var inForce *bundle.Config
-	for {
-		if config := h.Config(); config != inForce {
-			inForce = config
-			h.configure(config)
-		}
+	for h.Config() == nil || h.parts.Catalog.HeardAt().IsZero() {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
 	}
-}
-
-func (h *Host) configure(config *bundle.Config) {
-	h.parts.Local.Configure(config)
-	news := h.parts.Rollout.News()
-	h.parts.Member.AnnounceConfig(news.GetGeneration(), news.GetManifestHash())
-	h.parts.Log.Info("configuration in force", zap.Uint64("generation", config.Generation))
+	return h.parts.Member.Run(ctx)
 }
--- a/home/home.go
+++ b/home/home.go
@@ -78,6 +78,7 @@
 
 // ClassSpec is a class as the home needs it.
 type ClassSpec struct {
+	Name          string
 	ReservedShare float64
 	MaxQueue      int
 }
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -37,6 +37,7 @@
 	counter Counter
 	watcher Watcher
 	now     func() time.Time
+	inForce func() *bundle.Config
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -54,26 +55,42 @@
 }
 
 // New makes a server without homes; they come into being with their first leg.
-func New(runner backend.Runner, counter Counter, watcher Watcher, now func() time.Time) *Server {
+// inForce returns the configuration in force; nil: none yet.
+func New(runner backend.Runner, counter Counter, watcher Watcher, now func() time.Time, inForce func() *bundle.Config) *Server {
 	return &Server{
 		runner:   runner,
 		counter:  counter,
 		watcher:  watcher,
 		now:      now,
+		inForce:  inForce,
 		services: make(map[string]*service),
 		known:    make(map[string][]Known),
 	}
 }
 
-// Configure puts a configuration in force. Homes whose limits changed start
-// anew; what runs in the old ones runs to its end.
-func (s *Server) Configure(config *bundle.Config) {
+// Refresh puts the configuration in force into the homes. Legs that come find
+// it by themselves; those that wait already need the call.
+func (s *Server) Refresh() {
+	config := s.inForce()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config == nil || !sameLimits(s.config, config) {
-		s.services = make(map[string]*service)
+	s.refresh(config)
+}
+
+func (s *Server) refresh(config *bundle.Config) {
+	if config == s.config || config == nil {
+		return
 	}
 	s.config = config
+	for name, svc := range s.services {
+		spec, ok := config.Service(name)
+		if !ok {
+			// What runs there runs to its end.
+			delete(s.services, name)
+			continue
+		}
+		svc.reconfigure(homeConfig(config, spec))
+	}
 }
 
 // SetServers tells which backend servers each service has.
@@ -103,9 +120,7 @@
 }
 
 func (s *Server) service(request leg.Request) (*service, int, *leg.Result) {
-	s.mu.RLock()
-	svc, config := s.services[request.Service], s.config
-	s.mu.RUnlock()
+	config := s.inForce()
 	if config == nil {
 		return nil, 0, refused(request, result.NotReady, "no configuration yet")
 	}
@@ -113,8 +128,11 @@
 	if !ok {
 		return nil, 0, refused(request, result.BadRequest, "unknown class "+request.Class)
 	}
-	if svc == nil {
-		svc = s.open(request.Service)
+	s.mu.RLock()
+	svc, current := s.services[request.Service], s.config
+	s.mu.RUnlock()
+	if svc == nil || current != config {
+		svc = s.open(config, request.Service)
 	}
 	if svc == nil {
 		return nil, 0, refused(request, result.NoBackend, "unknown service "+request.Service)
@@ -131,9 +149,10 @@
 // this host ever share one.
 const attemptsPerHome = 1 << 40
 
-func (s *Server) open(name string) *service {
+func (s *Server) open(config *bundle.Config, name string) *service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refresh(config)
 	if svc := s.services[name]; svc != nil {
 		return svc
 	}
@@ -152,7 +171,7 @@
 func homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
 	classes := make([]home.ClassSpec, len(config.Classes))
 	for i, class := range config.Classes {
-		classes[i] = home.ClassSpec{ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
+		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
 	}
 	return home.Config{
 		Service:        spec.Name,
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"reflect"
 	"sync"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
-	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
@@ -263,12 +261,10 @@
 	s.timer.Reset(wait)
 }
 
-// sameLimits reports whether homes can go on under the new configuration.
-func sameLimits(a, b *bundle.Config) bool {
-	if a.Policy != b.Policy || !reflect.DeepEqual(a.Classes, b.Classes) {
-		return false
-	}
-	return a.SameServices(b)
+func (s *service) reconfigure(config home.Config) {
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		return s.home.Reconfigure(now, config, acts)
+	})
 }
 
 func (s *service) open() int {
--- a/host.go
+++ b/host.go
@@ -130,10 +130,9 @@
 	run := func(name string, f func(context.Context) error) {
 		group.Go(func() error { return errors.Wrap(f(live), name) })
 	}
-	run("member", h.parts.Member.Run)
+	run("member", h.join)
 	run("rollout", h.parts.Rollout.Run)
 	run("catalog", h.parts.Catalog.Run)
-	run("control", h.control)
 	run("peers", func(ctx context.Context) error { return h.parts.PeerServer.Serve(ctx, h.peersListener()) })
 	run("callers", func(context.Context) error { return serve(callers, h.parts.Listeners.callers, h.options.CallerTLS) })
 	run("operators", func(context.Context) error {
--- a/parts.go
+++ b/parts.go
@@ -68,6 +68,7 @@
 type late struct {
 	configNews func(member.ConfigNews)
 	runBooking booking.Runner
+	applied    func(*bundle.Config)
 }
 
 func (l *late) bind(h *Host) {
@@ -78,6 +79,7 @@
 		}, news.FromAddress)
 	}
 	l.runBooking = h.runBooking
+	l.applied = h.configure
 }
 
 // build wires every part in one place. Each constructor below names what it
@@ -183,7 +185,7 @@
 	})
 }
 
-func newRollout(s settings.Settings, l *listeners, store platform.Store, pool *peer.Pool, members *member.Agent, now clock, log *zap.Logger, registry *prometheus.Registry) (*rollout.Agent, error) {
+func newRollout(s settings.Settings, l *listeners, store platform.Store, pool *peer.Pool, members *member.Agent, now clock, log *zap.Logger, registry *prometheus.Registry, later *late) (*rollout.Agent, error) {
 	signers, err := bundle.NewSigners(s.Keys.Signers)
 	if err != nil {
 		return nil, err
@@ -198,6 +200,7 @@
 		Now:        now,
 		Logger:     log,
 		Registerer: registry,
+		OnApplied:  func(config *bundle.Config) { later.applied(config) },
 	}), nil
 }
 
@@ -229,8 +232,8 @@
 	return addresses
 }
 
-func newLocal(runner backend.Runner, metrics *observe.Metrics, now clock) *homeserver.Server {
-	return homeserver.New(runner, metrics, noWatcher{}, now)
+func newLocal(runner backend.Runner, metrics *observe.Metrics, now clock, configs *rollout.Agent) *homeserver.Server {
+	return homeserver.New(runner, metrics, noWatcher{}, now, configs.Config)
 }
 
 func newExchange(life lifetime, pool *peer.Pool, s settings.Settings, incarnation ident.Incarnation, now clock) *exchange.Client {
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -168,7 +168,7 @@
 // leg that may have run only if it is idempotent; both homes at once
 // over-commit the backend servers for a moment, and they shed.
 func (r *run) failOver(a arrival) bool {
-	if a.result.Code != result.HomeUnavailable || r.moved[a.position] {
+	if !homeLost(a.result.Code) || r.moved[a.position] {
 		return false
 	}
 	if !a.result.Outcome.NotRun() && !r.work.Idempotent {
@@ -185,6 +185,11 @@
 	return true
 }
 
+// homeLost reports whether a home said that it is none, or said nothing.
+func homeLost(code result.Code) bool {
+	return code == result.HomeUnavailable || code == result.NotReady
+}
+
 // otherHome is the home to try when the one that the leg was sent to is lost.
 // It is the first one if membership has moved the home meanwhile.
 func (r *run) otherHome(position int) ident.HostID {
--- a/stop.go
+++ b/stop.go
@@ -26,9 +26,7 @@
 	stop := drain.Begin(h.parts.Now(), keep, h.parts.Settings.Limits.StopWait)
 	h.stop.Store(stop)
 	h.parts.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.parts.Now())))
-	if err := h.parts.Member.Leave(live); err != nil {
-		h.parts.Log.Warn("peers were not told of the stop", zap.Error(err))
-	}
+	h.leave(live)
 	last := drain.PhaseServing
 	for live.Err() == nil {
 		phase := stop.Phase(h.parts.Now(), h.busy())
@@ -43,6 +41,17 @@
 	}
 }
 
+// leaveWait bounds telling the peers, which a host that has not joined can't.
+const leaveWait = time.Second
+
+func (h *Host) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	if err := h.parts.Member.Leave(ctx); err != nil {
+		h.parts.Log.Warn("peers were not told of the stop", zap.Error(err))
+	}
+}
+
 // busy counts the callers' requests and the peers' legs in flight.
 func (h *Host) busy() int { return int(h.inFlight.Load()) + h.parts.Local.Open() }
 
