--- a/bench/cases.go
+++ b/bench/cases.go
@@ -34,6 +34,9 @@
 		steady("transit-70", TransitPlanner(), 0.70),
 		steady("portal-70", BookingPortal(), 0.70),
 		steady("archive-70", Archive(), 0.70),
+		queueing(steady("steady-70-q", BookingDesk(), 0.70)),
+		queueing(steady("steady-85-q", BookingDesk(), 0.85)),
+		queueing(slowServer("slow-45-q", 0.45)),
 		burst(),
 		slowServer("slow-45", 0.45),
 		slowServer("slow-70", 0.70),
@@ -64,6 +67,14 @@
 	return Case{Name: name, Story: "steady Poisson arrivals", Shape: shape, Load: load, Traffic: search()}
 }
 
+// queueing lets the backend servers keep two requests beyond their slots, in
+// place of shedding them.
+func queueing(c Case) Case {
+	c.Shape.ServerQueue = 2
+	c.Story += "; servers queue 2 requests"
+	return c
+}
+
 func burst() Case {
 	c := steady("burst", BookingDesk(), 0.40)
 	c.Story = "40% load, 5 times as much from second 4 to 6"
--- a/bench/shape.go
+++ b/bench/shape.go
@@ -16,6 +16,7 @@
 	Services       int
 	Servers        int // backend servers of each service
 	Slots          int // requests that one backend server runs at once
+	ServerQueue    int // requests that may wait at a server; it sheds above
 	Zones          int
 	HopSameZone    time.Duration // one way
 	HopOtherZone   time.Duration // one way
--- a/home/class.go
+++ b/home/class.go
@@ -26,7 +26,9 @@
 	watch   attemptList
 	running int
 	// virtual is the slot time used, in seconds, divided by the share.
-	virtual  float64
+	virtual float64
+	// long: the class's work takes much longer than that of an active other.
+	long     bool
 	lastSeen time.Time
 	times    meanTime
 	observed histogram
@@ -85,7 +87,8 @@
 			kept += reservedSlots(other, h.totalSlots)
 		}
 	}
-	return kept == 0 || c.running < max(1, h.totalSlots-kept)
+	c.long = kept > 0
+	return !c.long || c.running < max(1, h.totalSlots-kept)
 }
 
 func reservedSlots(c *class, total int) int {
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -56,7 +56,7 @@
 
 func (h *Home) hasFreeSlot(now time.Time) bool {
 	for _, s := range h.servers {
-		if s.usable(now) && len(s.running) < s.limit(h.anyWarm) {
+		if s.usable(now) && len(s.running) < s.room(false, h.anyWarm, now) {
 			return true
 		}
 	}
@@ -72,12 +72,16 @@
 	h.nextAttempt++
 	a := &attempt{id: h.nextAttempt, leg: l, server: s, started: now, hedge: hedge, charged: c.prior(now)}
 	h.attempts[a.id] = a
+	if len(s.running) >= s.slots {
+		a.ahead, a.wasAhead = true, true
+		s.ahead.sent()
+	}
 	s.running = append(s.running, a)
 	l.addAttempt(a)
 	l.started++
 	c.running++
 	c.charge(a.charged)
-	if !hedge && l.Idempotent {
+	if !hedge && l.Idempotent && !a.ahead {
 		c.watch.push(a)
 	}
 	return Action{
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -7,7 +7,7 @@
 	hedgeBurst = 20
 	// hedgeDelay: with an empty budget legs are hedged this much later than
 	// with a full one, as a share of the slow quantile.
-	hedgeDelay = 1.0
+	hedgeDelay = 0.5
 	// leastQuantile is the quantile taken for the shortest time in which a
 	// request can be answered.
 	leastQuantile = 0.05
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -51,6 +51,13 @@
 	return b
 }
 
+// withoutProbes keeps the home from trying to send ahead.
+func (b *bench) withoutProbes() {
+	for _, s := range b.home.servers {
+		s.ahead.nextProbe = start.Add(time.Hour)
+	}
+}
+
 func (b *bench) set() { b.took(b.home.SetServers(b.now, b.servers, nil)) }
 
 func (b *bench) took(acts []Action) []Action {
@@ -160,6 +167,7 @@
 // one slot only, and then gets its share back before any further export.
 func TestABusyClassYieldsToAnotherAtTheNextSlot(t *testing.T) {
 	b := newBench(t, config(), 2)
+	b.withoutProbes()
 	for range 20 {
 		b.submit(batch, 10*time.Second, true)
 	}
@@ -172,6 +180,7 @@
 
 func TestLongWorkLeavesReservedSlotsFree(t *testing.T) {
 	b := newBench(t, config(), 2)
+	b.withoutProbes()
 	b.practise(20)
 	b.submit(batch, 10*time.Second, true)
 	b.pass(500 * time.Millisecond)
--- a/home/learn.go
+++ b/home/learn.go
@@ -16,7 +16,12 @@
 	if end.HasLoad {
 		s.hear(now, end.Load)
 	}
+	if a.wasAhead {
+		s.ahead.ended(now, countsAsRefusal(end))
+	}
 	switch {
+	case a.wasAhead && countsAsRefusal(end):
+		// this home's excess, not the server's overload
 	case answers(end):
 		h.lastGood = now
 		s.answered()
@@ -43,6 +48,9 @@
 // cancelled attempt took at least its age; those that lost to their first
 // attempt are left out of the quantiles, their ages say nothing.
 func (h *Home) observe(now time.Time, a *attempt, completed bool) {
+	if a.ahead {
+		return
+	}
 	spent := now.Sub(a.started)
 	c := &h.classes[a.leg.Class]
 	a.server.times[c.index].observe(now, spent, completed)
--- a/home/leg.go
+++ b/home/leg.go
@@ -42,11 +42,21 @@
 	started    time.Time
 	charged    float64 // seconds charged to the class
 	hedge      bool
+	ahead      bool // waits at the server for a slot, as far as is known
+	wasAhead   bool
 	cancelled  bool
 	watched    bool
 	prev, next *attempt
 }
 
+// ran is the slot time that the attempt used so far.
+func (a *attempt) ran(now time.Time) time.Duration {
+	if a.ahead {
+		return 0
+	}
+	return now.Sub(a.started)
+}
+
 func (l *leg) runningCount() int {
 	n := 0
 	for _, a := range l.attempts {
--- a/home/place.go
+++ b/home/place.go
@@ -35,7 +35,7 @@
 		}
 		limit := s.limit(h.anyWarm)
 		expected := s.expected(c.index, prior, now)
-		if len(s.running) >= limit {
+		if len(s.running) >= s.room(c.long, h.anyWarm, now) {
 			finish := expected * (1 + float64(ahead+1)/float64(limit))
 			if waitTime == 0 || finish < waitFinish {
 				waitFinish, waitTime = finish, expected
@@ -59,6 +59,9 @@
 func freeFinish(s *server, expected float64, limit int, now time.Time) float64 {
 	busy := float64(len(s.running))/float64(limit) + s.othersShare(now)
 	finish := expected * (1 + busy/2)
+	if len(s.running) >= limit {
+		finish += expected / float64(limit) // sent ahead, waits for a slot
+	}
 	if !s.spec.SameZone {
 		finish += zoneCost
 	}
--- a/home/server.go
+++ b/home/server.go
@@ -40,17 +40,20 @@
 	ejections    int // in a row
 	ejectedUntil time.Time
 
+	ahead ahead
+
 	others     int // requests that are not this home's, by the server's report
 	reportedAt time.Time
 }
 
-func newServer(spec ServerSpec, cfg *Config, warm bool) *server {
+func newServer(now time.Time, spec ServerSpec, cfg *Config, warm bool) *server {
 	return &server{
 		spec:    spec,
 		slots:   cfg.SlotsPerServer,
-		running: make([]*attempt, 0, cfg.SlotsPerServer),
+		running: make([]*attempt, 0, cfg.SlotsPerServer+1),
 		times:   make([]meanTime, len(cfg.Classes)),
 		warm:    warm,
+		ahead:   ahead{nextProbe: now.Add(firstProbe)},
 	}
 }
 
@@ -91,7 +94,7 @@
 func (s *server) expected(class int, prior float64, now time.Time) float64 {
 	ages := 0.0
 	for _, a := range s.running {
-		if a.leg.Class == class {
+		if a.leg.Class == class && !a.ahead {
 			ages += now.Sub(a.started).Seconds()
 		}
 	}
@@ -107,11 +110,23 @@
 	return min(1, float64(s.others)/float64(s.slots))
 }
 
+// room is how many attempts of a class may be at the server, running or sent
+// ahead. Long work is not sent ahead: a short leg that comes would wait for it.
+func (s *server) room(long, anyWarm bool, now time.Time) int {
+	limit := s.limit(anyWarm)
+	if limit == s.slots && !long {
+		limit += s.ahead.allowed(now)
+	}
+	return limit
+}
+
+// drop takes an attempt that ended off the server; the others keep the order
+// in which they were sent.
 func (s *server) drop(a *attempt) {
 	for i := range s.running {
 		if s.running[i] == a {
 			last := len(s.running) - 1
-			s.running[i] = s.running[last]
+			copy(s.running[i:], s.running[i+1:])
 			s.running[last] = nil
 			s.running = s.running[:last]
 			return
--- a/home/state.go
+++ b/home/state.go
@@ -46,7 +46,7 @@
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		nextAttempt: firstAttempt,
-		hedgeBudget: retry.NewBudget(cfg.HedgeBudget, hedgeBurst),
+		hedgeBudget: retry.NewEmptyBudget(cfg.HedgeBudget, hedgeBurst),
 		retryBudget: retry.NewBudget(cfg.RetryBudget, retryBurst),
 	}
 	for i := range h.classes {
@@ -62,7 +62,7 @@
 	for _, spec := range specs {
 		s := h.find(spec.Name)
 		if s == nil || s.spec.Incarnation != spec.Incarnation {
-			s = newServer(spec, &h.cfg, !h.known)
+			s = newServer(now, spec, &h.cfg, !h.known)
 		}
 		s.spec = spec
 		next = append(next, s)
@@ -113,8 +113,9 @@
 	c := &h.classes[a.leg.Class]
 	c.running--
 	c.watch.remove(a)
-	c.charge(now.Sub(a.started).Seconds() - a.charged)
+	c.charge(a.ran(now).Seconds() - a.charged)
 	h.learn(now, a, end)
+	h.promote(a.server, now)
 	if !a.leg.done {
 		acts = h.settle(now, a, end, acts)
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -27,6 +27,14 @@
 	return Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// NewEmptyBudget makes a budget that starts empty, for extra work that is never
+// urgent enough to run ahead of its share.
+func NewEmptyBudget(ratio, burst float64) Budget {
+	b := NewBudget(ratio, burst)
+	b.tokens = 0
+	return b
+}
+
 // Earn counts one first attempt.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
