--- /dev/null
+++ b/home/reconfigure_test.go
@@ -0,0 +1,128 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// Operators roll out a bundle under load. If homes began anew, each would count
+// free slots that its former self still fills: servers shed, the retry budget
+// is spent, and callers lose answers with every change of configuration.
+func TestReconfigureKeepsCountingWhatRuns(t *testing.T) {
+	is := is.New(t)
+	h := New(config(), 0)
+	h.SetServers(start, []ServerSpec{{Name: "a", Incarnation: 1}}, nil)
+	running := startsOf(submitMany(h, 6))
+	is.True(len(running) >= 2)
+
+	cfg := config()
+	cfg.Classes = []ClassSpec{{Name: "batch", MaxQueue: 50}, {Name: "interactive", ReservedShare: 0.5, MaxQueue: 50}}
+	named := config()
+	named.Classes[interactive].Name, named.Classes[batch].Name = "interactive", "batch"
+	is.Equal(len(startsOf(h.Reconfigure(start, named, nil))), 0)
+	is.Equal(len(startsOf(h.Reconfigure(start, cfg, nil))), 0) // no slot is free
+
+	// Every leg still gets its one end, in the order of the deadlines.
+	answered := 0
+	now := start
+	for len(running) > 0 {
+		now = now.Add(time.Millisecond)
+		acts := h.Finish(now, running[0].Attempt, End{Outcome: result.OutcomeRan}, nil)
+		running = append(running[1:], startsOf(acts)...)
+		answered += countKind(acts, ActionAnswer)
+	}
+	is.Equal(answered, 6)
+}
+
+// A caller goes away while its leg runs, and the run is a straggler. A hedge
+// for a leg that nobody waits for is load for nothing; the shell, which had
+// forgotten the leg, crashed on it.
+func TestCancelledLegIsNotHedged(t *testing.T) {
+	is := is.New(t)
+	cfg := config()
+	h := New(cfg, 0)
+	h.SetServers(start, []ServerSpec{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}}, nil)
+	now := start
+	for i := range 200 { // until the quantiles are known
+		acts := h.Submit(now, Leg{ID: LegID(i + 1), Deadline: now.Add(time.Minute), Idempotent: true}, nil)
+		now = now.Add(time.Millisecond)
+		for _, act := range startsOf(acts) {
+			h.Finish(now, act.Attempt, End{Outcome: result.OutcomeRan}, nil)
+		}
+	}
+	h.Submit(now, Leg{ID: 1000, Deadline: now.Add(time.Minute), Idempotent: true}, nil)
+	h.Cancel(now, 1000, nil)
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		is.Equal(len(startsOf(h.Tick(now, nil))), 0)
+	}
+}
+
+// A home moves between hosts: for a moment two of them count the same slots,
+// and the server sheds every second leg. Its legs must wait for room and not
+// use up the retry budget of a service that is well.
+func TestShedLegsWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	h := New(config(), 0)
+	h.SetServers(start, []ServerSpec{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}}, nil)
+	now := start
+	answered, failed := 0, 0
+	for i := range 100 {
+		acts := h.Submit(now, Leg{ID: LegID(i + 1), Deadline: now.Add(10 * time.Second), Idempotent: true}, nil)
+		shed := i%2 == 0
+		for step := 0; step < 1000 && countKind(acts, ActionAnswer)+countKind(acts, ActionFail) == 0; step++ {
+			now = now.Add(time.Millisecond)
+			starts := startsOf(acts)
+			acts = h.Tick(now, acts[:0])
+			for _, act := range starts {
+				end := End{Outcome: result.OutcomeRan}
+				if shed {
+					end = End{Outcome: result.OutcomeRefused, Fault: backend.FaultShed}
+				}
+				shed = false
+				acts = h.Finish(now, act.Attempt, end, acts)
+			}
+		}
+		answered += countKind(acts, ActionAnswer)
+		failed += countKind(acts, ActionFail)
+	}
+	is.Equal(failed, 0)
+	is.Equal(answered, 100)
+}
+
+func submitMany(h *Home, n int) []Action {
+	var acts []Action
+	for i := range n {
+		acts = h.Submit(start, Leg{
+			ID: LegID(i + 1), Request: ident.RequestID{byte(i)}, Class: i % 2,
+			Deadline: start.Add(time.Minute),
+		}, acts)
+	}
+	return acts
+}
+
+func startsOf(acts []Action) []Action {
+	var starts []Action
+	for _, act := range acts {
+		if act.Kind == ActionStart {
+			starts = append(starts, act)
+		}
+	}
+	return starts
+}
+
+func countKind(acts []Action, kind ActionKind) int {
+	n := 0
+	for _, act := range acts {
+		if act.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- a/home/settle.go
+++ b/home/settle.go
@@ -12,6 +12,9 @@
 	retryBurst = 10
 	// maxAttempts bounds one leg's share of the retry budget.
 	maxAttempts = 6
+	// maxPacedAttempts bounds the attempts of a leg that servers have no room
+	// for: with pauses that double up to 250 ms it is seconds of trying.
+	maxPacedAttempts = 24
 	// maxUnknowns is how many attempts of an idempotent leg may end unknown: a
 	// request that crashes each server that runs it takes down two at most
 	// before its leg gives up.
@@ -33,7 +36,7 @@
 	if !h.mayRetry(l, end, now) {
 		return h.fail(l, finalCode(l, end), end.RetryAfter, acts)
 	}
-	if !h.retryBudget.Spend() {
+	if !paced(end) && !h.retryBudget.Spend() {
 		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
 	}
 	l.avoid = a.server
@@ -43,6 +46,25 @@
 	return acts
 }
 
+// paced reports whether the leg goes back into the queue at no cost.
+//
+// Load: another home, or a caller of its own, fills the slots that this home
+// believes to be free; it happens each time a home moves between hosts. Harm
+// prevented: legs of a healthy service use up the retry budget within
+// milliseconds and fail. It makes no retry storm, since a server that refused
+// is paused, longer each time, and one that all servers refuse is failed by
+// dropUnservable.
+func paced(end End) bool {
+	return end.Fault == backend.FaultShed || end.Fault == backend.FaultConnectionLimit
+}
+
+func attemptsFor(end End) int {
+	if paced(end) {
+		return maxPacedAttempts
+	}
+	return maxAttempts
+}
+
 func answers(end End) bool {
 	return end.Outcome == result.OutcomeRan && end.Fault == backend.FaultNone
 }
@@ -66,7 +88,7 @@
 // Load: a service of which every server refuses. Harm prevented: a retry
 // storm, and a booking that runs twice. See retry.Budget for the limit.
 func (h *Home) mayRetry(l *leg, end End, now time.Time) bool {
-	if h.cfg.RetryBudget <= 0 || l.started >= maxAttempts || !h.canMeet(l, now) {
+	if h.cfg.RetryBudget <= 0 || !h.canMeet(l, now) || l.started >= attemptsFor(end) {
 		return false
 	}
 	if !l.worst.NotRun() && !l.Idempotent {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -35,6 +35,13 @@
 	return b
 }
 
+// Set changes the limits and keeps what was earned.
+func (b *Budget) Set(ratio, burst float64) {
+	next := NewBudget(ratio, burst)
+	next.tokens = min(b.tokens, next.burst)
+	*b = next
+}
+
 // Earn counts one first attempt.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	_ "github.com/goldcrestspan/goldcrestspan/internal/seeded"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
