--- a/backend/client.go
+++ b/backend/client.go
@@ -252,7 +252,10 @@
 	switch {
 	case watch.silent.Load():
 		return FaultSilent
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case !time.Now().Before(watch.call.Deadline):
+		// Asked of the clock, not of ctx: a server that gives up at the deadline
+		// can break the connection before our timer has fired, and must not
+		// look like one that died.
 		return FaultDeadline
 	case ctx.Err() != nil:
 		return FaultCancelled
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -22,6 +22,9 @@
 	link   *conn
 	call   Call
 	silent atomic.Bool
+	// absentAt is the time of the last bytes when the server first said that
+	// it does not run the call; only check uses it.
+	absentAt int64
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -62,12 +65,17 @@
 		return
 	}
 	lastRead := w.link.wire.lastReadNs.Load()
-	if w.runs() || w.link.wire.lastReadNs.Load() != lastRead {
-		// It runs, or its reply crossed with the question.
+	switch {
+	case w.runs():
+		w.absentAt = 0
 		w.arm(bound)
-		return
+	case w.absentAt != lastRead:
+		// The reply may have crossed with the question: look once more.
+		w.absentAt = lastRead
+		w.arm(bound / 2)
+	default:
+		w.dropIfOpen()
 	}
-	w.dropIfOpen()
 }
 
 // runs asks the server whether it still works on the call.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	headerTimeout     = 5 * time.Second
 	defaultCrashDown  = 200 * time.Millisecond
 	defaultColdFactor = 5
+	restartEvery      = 10 * time.Millisecond
 )
 
 // BackendConfig shapes a backend server stand-in.
@@ -85,6 +87,7 @@
 	random      *rand.Rand
 	loadLog     []loadAt
 	lastReply   *writtenReply
+	pause       chan struct{} // work in service waits for it while not nil
 }
 
 // life is one incarnation: its listener, server, slots and queue.
@@ -189,6 +192,7 @@
 	b.mu.Lock()
 	b.closed = true
 	b.mu.Unlock()
+	b.Pause(false)
 	b.Crash(-1)
 	return nil
 }
@@ -207,10 +211,24 @@
 	_ = l.server.Close()
 	l.listener.each(func(c *trackedConn) { _ = c.Close() })
 	if down >= 0 {
-		time.AfterFunc(down, func() { _ = b.Start(address) })
+		time.AfterFunc(down, func() { b.restart(address) })
 	}
 }
 
+// restart tries until the address can be had again: another socket may hold it
+// for a moment.
+func (b *Backend) restart(address string) {
+	if err := b.Start(address); err != nil && !b.isClosed() {
+		time.AfterFunc(restartEvery, func() { b.restart(address) })
+	}
+}
+
+func (b *Backend) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
 // Server is the backend server as an entry host knows it.
 func (b *Backend) Server() backend.Server {
 	b.mu.Lock()
@@ -285,3 +303,42 @@
 		l.listener.each(func(c *trackedConn) { c.silent.Store(true) })
 	}
 }
+
+// BreakConnections breaks the open connections; new ones work.
+func (b *Backend) BreakConnections() {
+	b.mu.Lock()
+	l := b.life
+	b.mu.Unlock()
+	if l != nil {
+		l.listener.each(func(c *trackedConn) { _ = c.Close() })
+	}
+}
+
+// Pause makes all work in service stand still until it is turned off.
+func (b *Backend) Pause(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case on && b.pause == nil:
+		b.pause = make(chan struct{})
+	case !on && b.pause != nil:
+		close(b.pause)
+		b.pause = nil
+	}
+}
+
+// unpaused waits out a pause and reports whether ctx is still on.
+func (b *Backend) unpaused(ctx context.Context) bool {
+	b.mu.Lock()
+	pause := b.pause
+	b.mu.Unlock()
+	if pause == nil {
+		return true
+	}
+	select {
+	case <-pause:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
