--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -191,8 +191,9 @@
 }
 
 // forget drops the lowest entries while there are too many, and raises the
-// floor over each. It stops at a run that has not ended: were that forgotten,
-// nothing would hold a duplicate back while it runs.
+// floor over each. The floor alone keeps a forgotten ticket from running again;
+// a run that has not ended is kept all the same, since its outcome would have
+// nowhere to go and its caller would hear "unknown" of a booking that went well.
 func (l *ledger) forget(tooMany func() bool) {
 	for len(l.order) > 0 && tooMany() {
 		lowest := l.order[0]
