--- a/cli/root.go
+++ b/cli/root.go
@@ -12,6 +12,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServeCommand())
+	root.AddCommand(newDemoCommand())
+	root.AddCommand(newResultCodesCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
