--- a/booking/claim.go
+++ b/booking/claim.go
@@ -45,14 +45,14 @@
 	return ClaimPrefix + hex.EncodeToString(sum[:])
 }
 
-func contentOf(caller, route string, body []byte) digest {
+func contentOf(caller, route string, body []byte) Digest {
 	hash := sha256.New()
 	var message []byte
 	message = appendField(message, caller)
 	message = appendField(message, route)
 	hash.Write(message)
 	hash.Write(body)
-	return digest(hash.Sum(nil))
+	return Digest(hash.Sum(nil))
 }
 
 func parseClaim(value []byte) (claim, error) {
--- a/booking/desk.go
+++ b/booking/desk.go
@@ -49,10 +49,18 @@
 type Peers interface {
 	// Issuer returns the address of the peer's listener of that life of the
 	// host; false when that life is not known to be there.
-	Issuer(host ident.HostID, life ident.Incarnation) (address string, known bool)
+	Issuer(host ident.HostID, incarnation ident.Incarnation) (address string, known bool)
+	// Successors returns the addresses of the few other hosts that hold what
+	// that life handed over when it stopped: the same on every host, as far as
+	// their views of the members agree.
+	Successors(host ident.HostID, incarnation ident.Incarnation) []string
 	// Forward sends the booking to the desk at the address. An error leaves
 	// open what became of it.
 	Forward(ctx context.Context, address string, r Request) (Result, error)
+	// HandOver gives the records of a stopped life to the desk at the address.
+	HandOver(ctx context.Context, address string, from Life, records Records) error
+	// Recall asks the desk at the address for the record of a ticket.
+	Recall(ctx context.Context, address string, from Life, sequence uint64, content Digest) (Result, bool, error)
 }
 
 // Config is what a Desk is made of.
@@ -76,6 +84,7 @@
 	signer  *signer
 	claims  *lru.Cache[string, string] // claim key to ticket
 	issued  *lru.Cache[uint64, string] // sequence of own ticket to claim key
+	stopped *lru.Cache[Life, Records]  // of stopped lives of hosts
 	records chan struct{}
 	work    sync.WaitGroup
 
@@ -113,25 +122,26 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = defaultMaxRecordBytes
 	}
-	claims, err := lru.New[string, string](claimsCached)
-	if err != nil {
-		panic(err) // only for a size below 1
-	}
-	issued, err := lru.New[uint64, string](claimsCached)
-	if err != nil {
-		panic(err)
-	}
 	return &Desk{
 		config:  config,
 		signer:  newSigner(),
-		claims:  claims,
-		issued:  issued,
+		claims:  newCache[string, string](claimsCached),
+		issued:  newCache[uint64, string](claimsCached),
+		stopped: newCache[Life, Records](stoppedLivesKept),
 		records: make(chan struct{}, recordsAtOnce),
 		ledger:  newLedger(config.MaxRecords, config.MaxRecordBytes),
 		ends:    make(map[uint64]*ending),
 	}
 }
 
+func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
+	cache, err := lru.New[K, V](size)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	return cache
+}
+
 // Stats returns the counts so far.
 func (d *Desk) Stats() Stats {
 	d.mu.Lock()
@@ -202,7 +212,7 @@
 func (d *Desk) forward(ctx context.Context, t ticket, r Request) Result {
 	address, known := d.config.Peers.Issuer(t.host, t.incarnation)
 	if !known {
-		return Result{Code: result.IssuerGone, Detail: "the entry host that issued the ticket is gone"}
+		return d.recall(ctx, t, r)
 	}
 	d.count(&d.stats.Forwarded)
 	outcome, err := d.config.Peers.Forward(ctx, address, r)
@@ -212,6 +222,9 @@
 			Detail: "the entry host that issued the ticket gave no answer; ask again with the same ticket",
 		}
 	}
+	if outcome.Code == result.IssuerGone {
+		return d.recall(ctx, t, r) // another life answers at its address
+	}
 	return outcome
 }
 
--- a/booking/desk_test.go
+++ b/booking/desk_test.go
@@ -88,6 +88,29 @@
 	return outcome, nil
 }
 
+// Successors implements Peers: every other host.
+func (f *fleet) Successors(host ident.HostID, _ ident.Incarnation) []string {
+	var others []string
+	for name := range f.desks {
+		if name != string(host) {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// HandOver implements Peers.
+func (f *fleet) HandOver(_ context.Context, address string, from Life, records Records) error {
+	f.desks[address].takeOver(from, records)
+	return nil
+}
+
+// Recall implements Peers.
+func (f *fleet) Recall(_ context.Context, address string, from Life, sequence uint64, content Digest) (Result, bool, error) {
+	outcome, ok := f.desks[address].recallHere(from, sequence, content)
+	return outcome, ok, nil
+}
+
 func (f *fleet) book(host string, r Request) Result {
 	r.RequestID = ident.NewRequestID()
 	r.Caller, r.Route = "desk", "book-slot"
--- /dev/null
+++ b/booking/handover.go
@@ -0,0 +1,71 @@
+package booking
+
+import (
+	"context"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// stoppedLivesKept bounds the stopped lives that a host answers for.
+const stoppedLivesKept = 16
+
+// Life is one life of a host.
+type Life struct {
+	Host        ident.HostID
+	Incarnation ident.Incarnation
+}
+
+// HandOver gives the records of a stopped desk to the successors, and returns
+// how many took them. Call it after Stop and before the process ends. What is
+// not handed over is answered with "issuer gone".
+func (d *Desk) HandOver(ctx context.Context) int {
+	d.mu.Lock()
+	records, stopped := d.ledger.handOver(maxHandOverBytes)
+	d.mu.Unlock()
+	if !stopped {
+		return 0
+	}
+	taken := 0
+	own := Life{Host: d.config.Host, Incarnation: d.config.Incarnation}
+	for _, address := range d.config.Peers.Successors(own.Host, own.Incarnation) {
+		if d.config.Peers.HandOver(ctx, address, own, records) == nil {
+			taken++
+		}
+	}
+	return taken
+}
+
+// takeOver keeps the records of a stopped life.
+func (d *Desk) takeOver(from Life, records Records) {
+	if from.Host == d.config.Host && from.Incarnation == d.config.Incarnation {
+		return // not stopped: this life's own ledger is the only word on it
+	}
+	d.stopped.Add(from, records)
+}
+
+// recallHere answers from the records that were handed over to this host.
+func (d *Desk) recallHere(from Life, sequence uint64, content Digest) (Result, bool) {
+	records, ok := d.stopped.Get(from)
+	if !ok {
+		return Result{}, false
+	}
+	return records.recall(sequence, content), true
+}
+
+// recall answers for a ticket whose issuer is gone: from the records of a
+// planned stop if there are any, else that its outcome is not known.
+func (d *Desk) recall(ctx context.Context, t ticket, r Request) Result {
+	from := Life{Host: t.host, Incarnation: t.incarnation}
+	content := contentOf(r.Caller, r.Route, r.Body)
+	if outcome, ok := d.recallHere(from, t.sequence, content); ok {
+		return outcome
+	}
+	for _, address := range d.config.Peers.Successors(t.host, t.incarnation) {
+		outcome, ok, err := d.config.Peers.Recall(ctx, address, from, t.sequence, content)
+		if err == nil && ok {
+			return outcome
+		}
+	}
+	return Result{Code: result.IssuerGone, Detail: "the entry host that issued the ticket is gone"}
+}
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -21,7 +21,7 @@
 }
 
 // digest identifies the content of a booking.
-type digest [sha256.Size]byte
+type Digest [sha256.Size]byte
 
 // phase is where the one run of a ticket stands.
 type phase uint8
@@ -38,7 +38,7 @@
 // entry is what is remembered of one ticket that was used.
 type entry struct {
 	phase   phase
-	content digest
+	content Digest
 	// waiting are the sendings that the current run will answer.
 	waiting []ident.RequestID
 	// told are the sendings that were answered "not run".
@@ -88,7 +88,7 @@
 }
 
 // begin decides what becomes of one sending of a ticket whose mac is valid.
-func (l *ledger) begin(sequence uint64, sending ident.RequestID, content digest) step {
+func (l *ledger) begin(sequence uint64, sending ident.RequestID, content Digest) step {
 	if sequence <= l.floor {
 		// Forgotten: it may have run, so it must not run, and "not run" must
 		// not be said either. The floor is compared before the entries are
@@ -118,7 +118,7 @@
 }
 
 // first is the first sending of a ticket.
-func (l *ledger) first(sequence uint64, sending ident.RequestID, content digest) step {
+func (l *ledger) first(sequence uint64, sending ident.RequestID, content Digest) step {
 	if l.stopping {
 		// True for good: a ledger that is stopping starts nothing any more.
 		return refuse(result.Draining, "the entry host that issued the ticket is stopping")
--- a/booking/model_run_test.go
+++ b/booking/model_run_test.go
@@ -61,6 +61,7 @@
 		guardBeforeRun:    "ticket, crashes",
 		guardForwardLost:  "ticket, crashes",
 		guardStopping:     "ticket, stop",
+		guardHandOver:     "ticket, stop",
 		guardReadBack:     "key, sent at once",
 		guardNotFound:     "key, sent at once",
 		guardResent:       "key, sent after answer",
