--- a/backend/client.go
+++ b/backend/client.go
@@ -31,7 +31,6 @@
 	maxReplyHeaderBytes  = 16 << 10
 	statusServerFailed   = http.StatusInternalServerError
 	statusRefusedNotRun  = http.StatusServiceUnavailable
-	contentTypeOfCall    = "application/json"
 	discardedRefusalBody = 4 << 10
 )
 
@@ -271,7 +270,7 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        make(http.Header, 12),
+		Header:        make(http.Header, callHeaders),
 		Body:          io.NopCloser(bytes.NewReader(call.Body)),
 		ContentLength: int64(len(call.Body)),
 		Host:          server.Address,
@@ -279,8 +278,7 @@
 	if len(call.Body) == 0 {
 		request.Body = http.NoBody
 	}
-	setCallHeaders(request.Header, call, time.Until(call.Deadline))
-	set(request.Header, "Content-Type", contentTypeOfCall)
+	SetCallHeaders(request.Header, call, time.Until(call.Deadline))
 	return request.WithContext(ctx)
 }
 
@@ -338,12 +336,11 @@
 // the ones announced and asked for: a connection that breaks half-way would
 // otherwise pass off half an answer as a whole one.
 func (c *Client) readAnswer(ctx context.Context, watch *silenceWatch, response *http.Response, call Call) (Attempt, bool) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxReplyBytes+1))
+	body, err := readWhole(response, c.options.MaxReplyBytes)
 	if err != nil && (watch.silent.Load() || ctx.Err() != nil) {
 		return Attempt{Outcome: result.OutcomeUnknown, Fault: brokenFault(ctx, watch)}, false
 	}
-	whole := err == nil && int64(len(body)) <= c.options.MaxReplyBytes && int64(len(body)) == response.ContentLength
-	if !whole || response.Header.Get(HeaderDigest) != Digest(body) {
+	if err != nil || response.Header.Get(HeaderDigest) != Digest(body) {
 		c.half.Add(1)
 		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultHalfReply}, false
 	}
@@ -357,6 +354,23 @@
 	return Attempt{Outcome: result.OutcomeRan, Fault: FaultNone, Reply: reply}, true
 }
 
+// readWhole reads a body of the announced length, and its end, which frees the
+// connection for the next call.
+func readWhole(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength < 0 || response.ContentLength > limit {
+		return nil, errors.Errorf("length %d is unknown or over the limit", response.ContentLength)
+	}
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return nil, err
+	}
+	var end [1]byte
+	if _, err := response.Body.Read(end[:]); err != io.EOF {
+		return nil, errors.New("the body is longer than announced")
+	}
+	return body, nil
+}
+
 // Health asks the server for its load, state and snapshots, on a connection of
 // its own.
 func (c *Client) Health(ctx context.Context, server Server) (Health, error) {
@@ -375,7 +389,7 @@
 		return health, errors.Wrapf(err, "health of %s", server.Name)
 	}
 	if asked != nil {
-		setEchoes(request.Header, *asked)
+		newHeaderWriter(request.Header, callHeaders).setEchoes(*asked)
 	}
 	response, err := link.http.RoundTrip(request)
 	if err != nil {
--- a/backend/wire.go
+++ b/backend/wire.go
@@ -104,28 +104,51 @@
 	return string(out[:])
 }
 
-// setCallHeaders writes the request's side of the wire; left is the time until
-// the call's deadline.
-func setCallHeaders(h http.Header, call Call, left time.Duration) {
-	setEchoes(h, call)
-	set(h, HeaderService, call.Service)
-	set(h, HeaderIndex, call.Index)
-	set(h, HeaderClass, call.Class)
-	set(h, HeaderDeadlineIn, strconv.FormatInt(int64(left), 10))
-	set(h, HeaderIdempotent, strconv.FormatBool(call.Idempotent))
-	set(h, HeaderCancelOnClose, strconv.FormatBool(call.Idempotent))
+// callHeaders and replyHeaders are how many headers a call and a reply have.
+const (
+	callHeaders  = 11
+	replyHeaders = 12
+)
+
+// headerWriter sets headers whose keys are in canonical form already. All
+// values share one array, which saves an allocation for each.
+type headerWriter struct {
+	header http.Header
+	values []string
+}
+
+func newHeaderWriter(h http.Header, size int) *headerWriter {
+	return &headerWriter{header: h, values: make([]string, 0, size)}
+}
+
+func (w *headerWriter) set(key, value string) {
+	w.values = append(w.values, value)
+	end := len(w.values)
+	w.header[key] = w.values[end-1 : end : end]
 }
 
-func setEchoes(h http.Header, call Call) {
-	set(h, HeaderRequest, call.Request.String())
-	set(h, HeaderAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
-	set(h, HeaderShard, strconv.FormatUint(uint64(call.Shard), 10))
-	set(h, HeaderSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
+func (w *headerWriter) setNumber(key string, n uint64) { w.set(key, strconv.FormatUint(n, 10)) }
+
+func (w *headerWriter) setEchoes(call Call) {
+	w.set(HeaderRequest, call.Request.String())
+	w.setNumber(HeaderAttempt, uint64(call.Attempt))
+	w.setNumber(HeaderShard, uint64(call.Shard))
 }
 
-// set stores a header whose key is in canonical form already, without the cost
-// of bringing it there.
-func set(h http.Header, key, value string) { h[key] = []string{value} }
+// SetCallHeaders writes the request's side of the wire; left is the time until
+// the call's deadline.
+func SetCallHeaders(h http.Header, call Call, left time.Duration) {
+	w := newHeaderWriter(h, callHeaders)
+	w.setEchoes(call)
+	w.setNumber(HeaderSnapshot, uint64(call.Snapshot))
+	w.set(HeaderService, call.Service)
+	w.set(HeaderIndex, call.Index)
+	w.set(HeaderClass, call.Class)
+	w.setNumber(HeaderDeadlineIn, uint64(max(0, left)))
+	w.set(HeaderIdempotent, strconv.FormatBool(call.Idempotent))
+	w.set(HeaderCancelOnClose, strconv.FormatBool(call.Idempotent))
+	w.set("Content-Type", "application/json")
+}
 
 // ReadCall reads the headers of a request to PathRun, for servers; the body
 // and the deadline are left to the caller. now is added to the time left.
@@ -190,17 +213,18 @@
 // SetReplyHeaders writes the reply's side of the wire, for servers.
 // reply.Snapshot is the one that the body comes from.
 func SetReplyHeaders(h http.Header, call Call, reply Reply) {
-	setEchoes(h, call)
-	set(h, HeaderSnapshot, strconv.FormatUint(uint64(reply.Snapshot), 10))
-	set(h, HeaderIncarnation, strconv.FormatUint(reply.Incarnation, 10))
-	set(h, HeaderLoadRunning, strconv.Itoa(reply.Load.Running))
-	set(h, HeaderLoadQueued, strconv.Itoa(reply.Load.Queued))
-	set(h, HeaderLoadSlots, strconv.Itoa(reply.Load.Slots))
-	set(h, HeaderDraining, strconv.FormatBool(reply.Load.Draining))
-	set(h, HeaderHeld, writeVersions(reply.Held))
-	set(h, HeaderDigest, Digest(reply.Body))
-	set(h, "Content-Length", strconv.Itoa(len(reply.Body)))
-	set(h, "Content-Type", "application/json")
+	w := newHeaderWriter(h, replyHeaders)
+	w.setEchoes(call)
+	w.setNumber(HeaderSnapshot, uint64(reply.Snapshot))
+	w.setNumber(HeaderIncarnation, reply.Incarnation)
+	w.set(HeaderLoadRunning, strconv.Itoa(reply.Load.Running))
+	w.set(HeaderLoadQueued, strconv.Itoa(reply.Load.Queued))
+	w.set(HeaderLoadSlots, strconv.Itoa(reply.Load.Slots))
+	w.set(HeaderDraining, strconv.FormatBool(reply.Load.Draining))
+	w.set(HeaderHeld, writeVersions(reply.Held))
+	w.set(HeaderDigest, Digest(reply.Body))
+	w.set("Content-Length", strconv.Itoa(len(reply.Body)))
+	w.set("Content-Type", "application/json")
 }
 
 func writeVersions(versions []snapshot.Version) string {
