--- /dev/null
+++ b/admit/backlog.go
@@ -0,0 +1,125 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// firstCapacity is the guess of a host that has measured nothing yet, in
+	// requests a second: about a seventh of the users' smallest route.
+	firstCapacity = 100
+	// leastCapacity keeps the estimate from reaching zero, where it could not
+	// grow again.
+	leastCapacity = 1
+	// busyPressure is the pressure from which answers a second are taken for
+	// the capacity itself: at one, legs wait as long as they run, which takes
+	// about 85% of the slots. Below, they only tell the demand.
+	busyPressure = 1.0
+	// capacityGain is the weight of one interval's answers while busy: with
+	// ten answers an interval the estimate settles within half a second.
+	capacityGain = 0.2
+	// capacityGrowth is the step up for an interval in which requests were
+	// refused although nothing waits: a wrong low estimate doubles in 0.4 s.
+	capacityGrowth = 1.2
+	// idleCapacityLoss is the share of the estimate that an idle second
+	// takes from it, towards the measured rate: what was measured a minute
+	// ago says little of now.
+	idleCapacityLoss = 0.02
+
+	// backlogShare is the part of a request's time that may go into the
+	// backlog ahead of it. Under half, servers run dry between the legs of
+	// few requests; over, a straggler at the end of the wait comes too late.
+	backlogShare = 0.5
+	// overShareBacklog is the part of that backlog from which callers over
+	// their share are refused, so that the others still find room.
+	overShareBacklog = 0.7
+)
+
+// backlog estimates how long a request of one class would wait. Its capacity
+// is measured in requests, so it holds whatever the legs cost, and over all
+// backend servers, whatever the other entry hosts take.
+type backlog struct {
+	capacity float64 // requests a second
+	answered int     // in the running interval
+	blocked  int     // refused for the backlog in the running interval
+}
+
+func newBacklog() backlog { return backlog{capacity: firstCapacity} }
+
+// reckonCapacity takes one interval's answers in. Requests that got no answer
+// do not count: they leave as quickly as their deadlines pass, and would make
+// the worst overload look like the greatest capacity.
+func (b *backlog) reckonCapacity(elapsed time.Duration, pressure float64) {
+	measured := float64(b.answered) / elapsed.Seconds()
+	switch {
+	case pressure >= busyPressure:
+		b.capacity += capacityGain * (measured - b.capacity)
+	case b.blocked > 0:
+		b.capacity *= capacityGrowth
+	case measured > b.capacity:
+		b.capacity += capacityGain * (measured - b.capacity)
+	default:
+		b.capacity -= min(1, idleCapacityLoss*elapsed.Seconds()) * (b.capacity - measured)
+	}
+	b.capacity = max(b.capacity, leastCapacity)
+	b.answered = 0
+	b.blocked = 0
+}
+
+// judgeBacklog refuses what would wait too long behind earlier deadlines.
+//
+// Load: saturation, or a burst of five times the capacity. Harm prevented:
+// without it every request waits until just after its deadline, servers work
+// on requests that nobody waits for any more, and goodput collapses; callers
+// learn it late. Limits: the requests of the class with an earlier deadline,
+// over the measured capacity, may take half of the request's time, and seven
+// tenths of that for callers over their share. Only earlier deadlines count,
+// since the homes' queues run in that order: requests that can wait don't
+// shut out those that can't.
+func (c *Controller) judgeBacklog(now time.Time, cl *class, from *caller, deadline time.Time, left time.Duration) *result.Error {
+	ahead := seconds(float64(cl.deadlines.before(deadline)+1) / cl.capacity)
+	bound := time.Duration(backlogShare * float64(left))
+	if ahead > bound {
+		cl.blocked++
+		return c.refuseBacklog(now, cl, ahead-bound, ahead > left)
+	}
+	if ahead > time.Duration(overShareBacklog*float64(bound)) && cl.callers.overShare(now, from) {
+		return c.refuseShare(now, cl, from)
+	}
+	return nil
+}
+
+func (c *Controller) refuseBacklog(now time.Time, cl *class, excess time.Duration, hopeless bool) *result.Error {
+	refusal := result.Errorf(result.Overloaded, "the queue of class %s is full", cl.name)
+	if hopeless {
+		refusal = result.Errorf(result.DeadlineUnmeetable, "the queue of class %s is longer than the time left", cl.name)
+	}
+	refusal.RetryAfter = c.comeBack(now, cl, excess)
+	return refusal
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// deadlines are the deadlines of the requests in flight, sorted. There are at
+// most as many as requests in flight, so moving them costs under the time of
+// one leg's lookup.
+type deadlines []time.Time
+
+func (d deadlines) before(t time.Time) int {
+	i, _ := slices.BinarySearchFunc(d, t, time.Time.Compare)
+	return i
+}
+
+func (d *deadlines) insert(t time.Time) {
+	*d = slices.Insert(*d, d.before(t), t)
+}
+
+func (d *deadlines) remove(t time.Time) {
+	i, found := slices.BinarySearchFunc(*d, t, time.Time.Compare)
+	if found {
+		*d = slices.Delete(*d, i, i+1)
+	}
+}
