--- a/cli/root.go
+++ b/cli/root.go
@@ -12,6 +12,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
+	root.AddCommand(newBenchCommand())
 	return root
 }
