--- a/admit/admit.go
+++ b/admit/admit.go
@@ -84,14 +84,13 @@
 	classes     []*class
 	count       int // requests in flight, of all classes
 	bytes       int
-	legs        legTimes
 	nextControl time.Time
 }
 
 // New makes a controller without classes: it refuses everything until the
 // first Reconfigure. rnd spreads the times at which refused callers come back.
 func New(limits Limits, rnd *rand.Rand) *Controller {
-	return &Controller{limits: limits, rnd: rnd, legs: newLegTimes()}
+	return &Controller{limits: limits, rnd: rnd}
 }
 
 // Reconfigure takes the classes of a bundle over. A class that stays, by
@@ -135,25 +134,30 @@
 
 // judge asks the cheapest and hardest bounds first.
 func (c *Controller) judge(now time.Time, cl *class, from *caller, ask Ask) *result.Error {
-	left := ask.Deadline.Sub(now)
-	if left <= 0 {
+	if !now.Before(ask.Deadline) {
 		return result.Errorf(result.DeadlineUnmeetable, "the deadline has passed")
 	}
 	if refusal := c.judgeBounds(now, cl, ask.Bytes); refusal != nil {
 		return refusal
 	}
+	if refusal := c.judgeWait(now, cl, from, ask); refusal != nil {
+		return refusal
+	}
+	return c.judgeShare(now, cl, from)
+}
+
+// judgeWait refuses what would wait too long. A class without work in flight
+// is always let in by one request: it measures anew after a time in which
+// everything was refused.
+func (c *Controller) judgeWait(now time.Time, cl *class, from *caller, ask Ask) *result.Error {
 	if cl.count() == 0 {
-		// A class without work in flight is always let in by one request: it
-		// measures anew after a time in which everything was refused.
 		return nil
 	}
-	if refusal := c.judgeLegs(now, left, ask); refusal != nil {
-		return refusal
-	}
-	if refusal := c.judgeBacklog(now, cl, from, ask.Deadline, left); refusal != nil {
+	left := ask.Deadline.Sub(now)
+	if refusal := c.judgeLegs(now, cl, left, ask); refusal != nil {
 		return refusal
 	}
-	return c.judgeShare(now, cl, from)
+	return c.judgeBacklog(now, cl, from, ask.Deadline, left)
 }
 
 func (c *Controller) take(now time.Time, cl *class, from *caller, ask Ask) *Pass {
@@ -191,7 +195,7 @@
 	}
 	for i := range observed.Legs {
 		leg := &observed.Legs[i]
-		c.legs.add(now, leg)
+		cl.legs.add(now, leg)
 		cl.pressure.add(leg)
 	}
 }
--- a/admit/backlog.go
+++ b/admit/backlog.go
@@ -74,13 +74,13 @@
 // Load: saturation, or a burst of five times the capacity. Harm prevented:
 // without it every request waits until just after its deadline, servers work
 // on requests that nobody waits for any more, and goodput collapses; callers
-// learn it late. Limits: the requests of the class with an earlier deadline,
+// learn it late. Limits: the requests of the class with no later deadline,
 // over the measured capacity, may take half of the request's time, and seven
-// tenths of that for callers over their share. Only earlier deadlines count,
+// tenths of that for callers over their share. Later deadlines don't count,
 // since the homes' queues run in that order: requests that can wait don't
 // shut out those that can't.
 func (c *Controller) judgeBacklog(now time.Time, cl *class, from *caller, deadline time.Time, left time.Duration) *result.Error {
-	ahead := seconds(float64(cl.deadlines.before(deadline)+1) / cl.capacity)
+	ahead := seconds(float64(cl.deadlines.upTo(deadline)+1) / cl.capacity)
 	bound := time.Duration(backlogShare * float64(left))
 	if ahead > bound {
 		cl.blocked++
@@ -108,13 +108,14 @@
 // one leg's lookup.
 type deadlines []time.Time
 
-func (d deadlines) before(t time.Time) int {
-	i, _ := slices.BinarySearchFunc(d, t, time.Time.Compare)
+// upTo counts the deadlines that are not after t.
+func (d deadlines) upTo(t time.Time) int {
+	i, _ := slices.BinarySearchFunc(d, t.Add(1), time.Time.Compare)
 	return i
 }
 
 func (d *deadlines) insert(t time.Time) {
-	*d = slices.Insert(*d, d.before(t), t)
+	*d = slices.Insert(*d, d.upTo(t), t)
 }
 
 func (d *deadlines) remove(t time.Time) {
--- a/admit/class.go
+++ b/admit/class.go
@@ -12,11 +12,12 @@
 	admitted  rate
 	refused   rate
 	pressure  pressure
+	legs      legTimes
 	backlog
 }
 
 func newClass(name string) *class {
-	return &class{name: name, callers: newCallers(), backlog: newBacklog()}
+	return &class{name: name, callers: newCallers(), legs: newLegTimes(), backlog: newBacklog()}
 }
 
 func (cl *class) count() int { return len(cl.deadlines) }
--- a/bench/case.go
+++ b/bench/case.go
@@ -51,6 +51,8 @@
 type PolicySpec struct {
 	Name string
 	New  func(*Sim) Policy
+	// Admission, if set, stands in for the case's.
+	Admission func(*Sim) Admission
 }
 
 // Policy decides what happens to each leg from its entry host on.
--- a/bench/cases.go
+++ b/bench/cases.go
@@ -28,7 +28,7 @@
 
 // Cases are the standard cases, in the order of the tables.
 func Cases() []Case {
-	return []Case{
+	return append(admissionCases(), []Case{
 		steady("steady-70", BookingDesk(), 0.70),
 		steady("steady-85", BookingDesk(), 0.85),
 		steady("transit-70", TransitPlanner(), 0.70),
@@ -43,7 +43,7 @@
 		twoHomes(),
 		coldRestart(),
 		lyingReports(),
-	}
+	}...)
 }
 
 // CaseByName finds one of Cases.
--- a/bench/query.go
+++ b/bench/query.go
@@ -33,8 +33,10 @@
 	Query     *Query
 	Service   *Service
 	Submitted time.Duration
-	Answered  bool
-	Ended     bool
+	// Started is when the attempt that a server ran first was sent; zero: none yet.
+	Started  time.Duration
+	Answered bool
+	Ended    bool
 	// Code and Outcome are of a leg that failed.
 	Code    result.Code
 	Outcome result.Outcome
--- a/bench/server.go
+++ b/bench/server.go
@@ -97,6 +97,9 @@
 
 func (c *Call) run() {
 	c.started = c.sim.now
+	if c.Leg.Started == 0 {
+		c.Leg.Started = c.sim.now - c.hop
+	}
 	c.Server.running[c] = struct{}{}
 	c.sim.result.countRun(c.Leg)
 	c.sim.After(c.Server.draw(c.sim, c.Leg), func() {
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -58,6 +58,9 @@
 	if c.Admission != nil {
 		s.admission = c.Admission(s)
 	}
+	if spec.Admission != nil {
+		s.admission = spec.Admission(s)
+	}
 	for _, change := range c.Changes {
 		s.At(change.At, func() { change.Do(s) })
 	}
