--- a/cli/root.go
+++ b/cli/root.go
@@ -12,8 +12,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServeCommand())
+	root.AddCommand(newDemoCommand())
+	root.AddCommand(newResultCodesCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
+	root.AddCommand(newBundleCommand())
 	root.AddCommand(newBenchCommand())
 	return root
 }
