--- a/admit/backlog.go
+++ b/admit/backlog.go
@@ -18,9 +18,14 @@
 	// the capacity itself: at one, legs wait as long as they run, which takes
 	// about 85% of the slots. Below, they only tell the demand.
 	busyPressure = 1.0
-	// capacityGain is the weight of one interval's answers while busy: with
-	// ten answers an interval the estimate settles within half a second.
-	capacityGain = 0.2
+	// enoughAnswers and longestMeasure end a measurement of the capacity: ten
+	// answers have a noise of a third, and exports that take seconds must be
+	// measured some time too.
+	enoughAnswers  = 10
+	longestMeasure = 2 * time.Second
+	// capacityGain is the weight of one measurement: the estimate settles
+	// within half a second at a hundred answers a second.
+	capacityGain = 0.3
 	// capacityGrowth is the step up for an interval in which requests were
 	// refused although nothing waits: a wrong low estimate doubles in 0.4 s.
 	capacityGrowth = 1.2
@@ -33,6 +38,12 @@
 	// backlog ahead of it. Under half, servers run dry between the legs of
 	// few requests; over, a straggler at the end of the wait comes too late.
 	backlogShare = 0.5
+	// longestBacklog bounds the backlog of requests that could wait for long,
+	// and backlogLegs, in mean service times of a leg, that of long requests.
+	// More would keep no further slot busy; it would fill the homes' queues
+	// until these refuse legs of queries that have already cost slots.
+	longestBacklog = 500 * time.Millisecond
+	backlogLegs    = 10
 	// overShareBacklog is the part of that backlog from which callers over
 	// their share are refused, so that the others still find room.
 	overShareBacklog = 0.7
@@ -43,30 +54,49 @@
 // backend servers, whatever the other entry hosts take.
 type backlog struct {
 	capacity float64 // requests a second
-	answered int     // in the running interval
-	blocked  int     // refused for the backlog in the running interval
+	measured bool    // capacity is more than a guess
+	answered int     // since the last measurement
+	since    time.Duration
+	blocked  int // refused for the backlog since the last control
 }
 
 func newBacklog() backlog { return backlog{capacity: firstCapacity} }
 
-// reckonCapacity takes one interval's answers in. Requests that got no answer
-// do not count: they leave as quickly as their deadlines pass, and would make
-// the worst overload look like the greatest capacity.
+// reckonCapacity takes the answers since the last control in. Requests that
+// got no answer do not count: they leave as quickly as their deadlines pass,
+// and would make the worst overload look like the greatest capacity.
 func (b *backlog) reckonCapacity(elapsed time.Duration, pressure float64) {
-	measured := float64(b.answered) / elapsed.Seconds()
-	switch {
-	case pressure >= busyPressure:
-		b.capacity += capacityGain * (measured - b.capacity)
-	case b.blocked > 0:
+	b.since += elapsed
+	busy := pressure >= busyPressure
+	if b.blocked > 0 && !busy {
 		b.capacity *= capacityGrowth
-	case measured > b.capacity:
-		b.capacity += capacityGain * (measured - b.capacity)
+	}
+	b.blocked = 0
+	if b.answered < enoughAnswers && b.since < longestMeasure {
+		return
+	}
+	b.measure(float64(b.answered)/b.since.Seconds(), busy)
+	b.answered = 0
+	b.since = 0
+}
+
+func (b *backlog) measure(rate float64, busy bool) {
+	switch {
+	case busy && !b.measured:
+		b.capacity = rate
+		b.measured = true
+	case busy || rate > b.capacity:
+		b.capacity += capacityGain * (rate - b.capacity)
 	default:
-		b.capacity -= min(1, idleCapacityLoss*elapsed.Seconds()) * (b.capacity - measured)
+		b.capacity -= min(1, idleCapacityLoss*b.since.Seconds()) * (b.capacity - rate)
 	}
 	b.capacity = max(b.capacity, leastCapacity)
-	b.answered = 0
-	b.blocked = 0
+}
+
+// longestBacklog is the longest backlog for a request with the time left.
+func (cl *class) longestBacklog(left time.Duration) time.Duration {
+	bound := max(longestBacklog, backlogLegs*cl.pressure.meanService())
+	return min(bound, time.Duration(backlogShare*float64(left)))
 }
 
 // judgeBacklog refuses what would wait too long behind earlier deadlines.
@@ -75,13 +105,13 @@
 // without it every request waits until just after its deadline, servers work
 // on requests that nobody waits for any more, and goodput collapses; callers
 // learn it late. Limits: the requests of the class with no later deadline,
-// over the measured capacity, may take half of the request's time, and seven
-// tenths of that for callers over their share. Later deadlines don't count,
+// over the measured capacity, may take half of the request's time, but no more
+// than half a second or ten legs' service, and seven tenths of that for callers over their share. Later deadlines don't count,
 // since the homes' queues run in that order: requests that can wait don't
 // shut out those that can't.
 func (c *Controller) judgeBacklog(now time.Time, cl *class, from *caller, deadline time.Time, left time.Duration) *result.Error {
 	ahead := seconds(float64(cl.deadlines.upTo(deadline)+1) / cl.capacity)
-	bound := time.Duration(backlogShare * float64(left))
+	bound := cl.longestBacklog(left)
 	if ahead > bound {
 		cl.blocked++
 		return c.refuseBacklog(now, cl, ahead-bound, ahead > left)
--- a/admit/fair.go
+++ b/admit/fair.go
@@ -28,9 +28,9 @@
 	noise = 2.0
 
 	// floodPressure is the pressure at which floods are cut. Legs that wait
-	// a third of their service time mean two thirds of the slots in use:
+	// a quarter of their service time mean two thirds of the slots in use:
 	// the other callers' tail has hardly grown yet.
-	floodPressure = 0.35
+	floodPressure = 0.25
 	// levelCut and levelRise move the level each control interval, down
 	// quickly and up slowly, so that it does not swing around the pressure.
 	levelCut  = 0.7
@@ -96,7 +96,7 @@
 //
 // Load: one caller sends twenty times its share. Harm prevented: its excess
 // fills the queues, and every other caller's tail grows by the same wait.
-// Limits: the level falls while legs wait over a third of their service
+// Limits: the level falls while legs wait over a quarter of their service
 // time, and rises otherwise, so a flood may use what the others leave idle;
 // it never falls below an equal share of what is admitted, so a flooding
 // caller keeps its own share.
