--- a/home/hedge.go
+++ b/home/hedge.go
@@ -45,10 +45,11 @@
 }
 
 // wantsHedge: only an idempotent leg with one attempt that has another server
-// to go to and time left. A second copy of a booking could run twice.
+// to go to and time left. A second copy of a booking could run twice. A leg
+// that is done may still have an attempt whose cancellation is under way.
 func (h *Home) wantsHedge(c *class, a *attempt, now time.Time) bool {
 	l := a.leg
-	return l.Idempotent && l.place == notQueued && !l.hedged && l.runningCount() == 1 &&
+	return !l.done && l.Idempotent && l.place == notQueued && !l.hedged && l.runningCount() == 1 &&
 		h.usableCount > 1 && now.Add(c.leastTime).Before(l.Deadline)
 }
 
