--- a/backend/client.go
+++ b/backend/client.go
@@ -39,6 +39,9 @@
 	// ConnectionsPerServer bounds this host's connections to each server;
 	// default 24.
 	ConnectionsPerServer int
+	// Limit gives the bound for each server in place of ConnectionsPerServer.
+	// It is asked at each call and must be cheap; nil: none.
+	Limit func(Server) int
 	// MaxReplyBytes bounds one reply's body; default 4 MiB.
 	MaxReplyBytes int64
 	// DialTimeout bounds a new connection; default 500 ms.
@@ -92,8 +95,9 @@
 	scheme    string
 	transport *http.Transport
 
-	mu    sync.Mutex
-	pools map[string]*pool // by the server's address
+	mu      sync.Mutex
+	pools   map[string]*pool // by the server's address
+	sweeper *time.Timer      // of idle connections; nil until the first pool
 
 	dials, probes, silent, crossed, half atomic.Uint64
 }
@@ -132,44 +136,11 @@
 	}
 }
 
-// Connections returns the open connections to the server, busy ones included.
-func (c *Client) Connections(server Server) int {
-	open, _ := c.pool(server).counts()
-	return open
-}
-
-// Close drops the idle connections; calls in flight go on.
-func (c *Client) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.closeIdle()
-	}
-	return nil
-}
-
-// Forget drops the idle connections to a server that has left.
-func (c *Client) Forget(server Server) {
-	c.pool(server).closeIdle()
-}
-
-func (c *Client) pool(server Server) *pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.pools[server.Address]
-	if !ok {
-		p = &pool{limit: c.options.ConnectionsPerServer}
-		c.pools[server.Address] = p
-	}
-	return p
-}
-
 // Run implements Runner.
 func (c *Client) Run(ctx context.Context, server Server, call Call) Attempt {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	p := c.pool(server)
-	link, err := c.connect(ctx, p, server, call)
+	p, link, err := c.connect(ctx, server, call)
 	if err != nil {
 		return unsent(err)
 	}
@@ -196,20 +167,25 @@
 // A call that is not idempotent takes only a connection that was in use a
 // moment ago: on one that went silent while idle it would end as unknown
 // though it never ran, and an unknown booking costs a person's time.
-func (c *Client) connect(ctx context.Context, p *pool, server Server, call Call) (*conn, error) {
-	maxIdle := c.options.IdleFor
+func (c *Client) connect(ctx context.Context, server Server, call Call) (*pool, *conn, error) {
+	fresh := c.options.IdleFor
 	if !call.Idempotent {
-		maxIdle = c.options.FreshFor
+		fresh = c.options.FreshFor
+	}
+	p := c.pool(server)
+	link, err := p.take(time.Now(), fresh, c.limit(server))
+	for errors.Is(err, errRetired) {
+		p = c.pool(server)
+		link, err = p.take(time.Now(), fresh, c.limit(server))
 	}
-	link, err := p.take(time.Now(), maxIdle)
 	if link != nil || err != nil {
-		return link, err
+		return p, link, err
 	}
 	link, err = c.dial(ctx, server)
 	if err != nil {
 		p.forget()
 	}
-	return link, err
+	return p, link, err
 }
 
 func (c *Client) dial(ctx context.Context, server Server) (*conn, error) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -26,46 +26,90 @@
 	return writes
 }
 
-// pool holds the connections to one backend server, never more than limit.
+// pool holds the connections to one backend server.
 type pool struct {
-	mu    sync.Mutex
-	open  int     // idle, busy and being dialled
-	idle  []*conn // the one used last is at the end
-	limit int
+	mu      sync.Mutex
+	open    int     // idle, busy and being dialled
+	idle    []*conn // the one used last is at the end
+	retired bool    // out of the client's map: its places count no more
 }
 
-// take returns the idle connection that was used last and less than maxIdle
-// ago, or reserves the right to dial one (nil, nil).
-func (p *pool) take(now time.Time, maxIdle time.Duration) (*conn, error) {
+// errRetired: the pool was emptied and removed; there is or will be another.
+var errRetired = errors.New("backend: pool is retired")
+
+// take returns the idle connection that was used last, if that was less than
+// fresh ago, or reserves a place to dial one (nil, nil).
+func (p *pool) take(now time.Time, fresh time.Duration, limit int) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire(now, maxIdle)
+	if p.retired {
+		return nil, errRetired
+	}
+	if c := p.lastIdle(now, fresh); c != nil {
+		return c, nil
+	}
+	if p.open >= limit && len(p.idle) > 0 {
+		p.dropIdle(1) // too old for this call: its place is worth more
+	}
+	if p.open >= limit {
+		return nil, errNoConnection
+	}
+	p.open++
+	return nil, nil
+}
+
+// lastIdle takes the connection used last off the idle ones; the lock is held.
+func (p *pool) lastIdle(now time.Time, fresh time.Duration) *conn {
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
+		alive := c.http.Err() == nil
+		if alive && now.Sub(c.idleSince) > fresh {
+			return nil // the others are older still
+		}
 		p.idle = p.idle[:last]
-		if c.http.Err() == nil {
-			return c, nil
+		if alive {
+			return c
 		}
 		p.open--
 		c.drop()
 	}
-	if p.open >= p.limit {
-		return nil, errNoConnection
+	return nil
+}
+
+// dropIdle drops the n connections that were idle for longest; the lock is held.
+func (p *pool) dropIdle(n int) {
+	for _, c := range p.idle[:n] {
+		c.drop()
 	}
-	p.open++
-	return nil, nil
+	p.open -= n
+	p.idle = append(p.idle[:0], p.idle[n:]...)
 }
 
-// expire drops connections that were idle for too long. They sit at the front.
-func (p *pool) expire(now time.Time, maxIdle time.Duration) {
+// expire drops connections that were idle for longer than maxIdle. It retires
+// the pool and reports true if nothing is left in it.
+//
+// Failure: a host that is no longer the home of a server keeps the idle
+// connections of its busy time, and the new home meets the server's connection
+// limit while nobody uses them. The guard holds because expiry needs no call:
+// a timer of the Client comes by.
+func (p *pool) expire(now time.Time, maxIdle time.Duration) (empty bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	expired := 0
 	for expired < len(p.idle) && now.Sub(p.idle[expired].idleSince) > maxIdle {
-		p.idle[expired].drop()
 		expired++
 	}
-	p.open -= expired
-	p.idle = append(p.idle[:0], p.idle[expired:]...)
+	p.dropIdle(expired)
+	p.retired = p.open == 0
+	return p.retired
+}
+
+// trim drops idle connections until at most keep are open.
+func (p *pool) trim(keep int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropIdle(min(len(p.idle), max(0, p.open-keep)))
 }
 
 // put gives a healthy connection back.
@@ -83,22 +127,11 @@
 	p.open--
 }
 
-// closeIdle drops every idle connection.
-func (p *pool) closeIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		c.drop()
-	}
-	p.open -= len(p.idle)
-	p.idle = nil
-}
-
-// counts returns the open and the idle connections.
-func (p *pool) counts() (open, idle int) {
+// size returns the open connections.
+func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, len(p.idle)
+	return p.open
 }
 
 // dial opens one connection outside of any pool.
--- a/standin/client_faults_test.go
+++ b/standin/client_faults_test.go
@@ -174,6 +174,41 @@
 	is.Equal(b.Record().Count(), 1)
 }
 
+// A host was the home of a server for a while. Its idle connections go by
+// themselves; kept, they would use up the limit that the new home needs.
+func TestIdleConnectionsExpireWithoutACall(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, standin.BackendConfig{})
+	client := newClient(t, backend.Options{IdleFor: 20 * time.Millisecond})
+	is.True(client.Run(context.Background(), b.Server(), newCall("x")).Usable())
+	waitFor(t, "the end of the connection", func() bool {
+		open, _ := b.OpenConnections()
+		return open == 0 && client.Connections(b.Server()) == 0
+	})
+	is.True(client.Run(context.Background(), b.Server(), newCall("x")).Usable())
+}
+
+func TestTrimKeepsASpareConnection(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, standin.BackendConfig{Slots: 4})
+	client := newClient(t, backend.Options{Limit: func(backend.Server) int { return 3 }})
+	b.Pause(true)
+	done := make(chan backend.Attempt, 4)
+	for range 4 {
+		go func() { done <- client.Run(context.Background(), b.Server(), newCall("x")) }()
+	}
+	is.Equal((<-done).Fault, backend.FaultConnectionLimit)
+	waitFor(t, "the runs", func() bool { return b.Record().Count() == 3 })
+	b.Pause(false)
+	for range 3 {
+		is.True((<-done).Usable())
+	}
+	client.Trim(b.Server(), 1)
+	is.Equal(client.Connections(b.Server()), 1)
+	is.True(client.Run(context.Background(), b.Server(), newCall("x")).Usable())
+	is.Equal(client.Stats().Dials, uint64(3))
+}
+
 // A request that crashes every server that runs it: its attempt is unknown, the
 // call beside it too, and the server comes back as another incarnation.
 func TestCrashOnARequest(t *testing.T) {
