--- a/member/probe.go
+++ b/member/probe.go
@@ -65,6 +65,9 @@
 
 // NextDue is when Tick has to be called next, at the latest.
 func (m *Membership) NextDue() time.Time {
+	if m.replaced {
+		return m.turnAt.Add(m.config.ProbeEvery)
+	}
 	due := m.nextProbe
 	sooner := func(at time.Time) {
 		if !at.IsZero() && at.Before(due) {
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -27,6 +27,7 @@
 	onConfig  func(n *node, news ConfigNews)
 	bytes     uint64 // marshalled, of all messages delivered or lost
 	messages  uint64
+	codec     bool // marshal and unmarshal each message, to count its cost
 }
 
 type node struct {
@@ -213,6 +214,9 @@
 // send delivers a message, or loses or doubles it.
 func (s *simulation) send(from, to *node, message proto.Message, deliver func()) {
 	size := uint64(proto.Size(message))
+	if s.codec {
+		roundTrip(message)
+	}
 	s.bytes += size
 	s.messages++
 	from.sent += size
