--- /dev/null
+++ b/leaving/leaving_test.go
@@ -0,0 +1,108 @@
+package leaving
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspan/goldcrestspan/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func row(name string, incarnation uint64, state platform.HostState) platform.ListedHost {
+	return platform.ListedHost{Name: name, Kind: platform.KindBackend, Incarnation: incarnation, State: state}
+}
+
+// A caller's booking is refused by a server that is shutting down. The server
+// said so on an earlier reply; the lagging host list still calls it live, and a
+// reply from before the drain comes in late. None of that may bring it back.
+func TestLeavingServerStaysOutUntilItsNextLife(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Observe(start, "s", 1, SignalServing)
+	is.True(table.Allowed("s"))
+	is.True(table.Observe(start, "s", 1, SignalDraining)) // news to share
+	is.True(!table.Allowed("s"))
+	table.HostList(start.Add(time.Second), []platform.ListedHost{row("s", 1, platform.StateLive)})
+	table.Observe(start.Add(2*time.Second), "s", 1, SignalServing)
+	is.True(!table.Allowed("s"))
+	is.True(!table.Observe(start, "s", 1, SignalRefused)) // no news any more
+	table.Observe(start.Add(time.Minute), "s", 2, SignalServing)
+	is.True(table.Allowed("s"))
+	is.True(!table.AllowedLife(Life{"s", 1}))
+}
+
+// A server restarts; news that its first life left arrives late at some entry
+// hosts, after they met the second. The second must keep its work.
+func TestLateNewsOfAnOldLifeLeavesTheNewOneIn(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Observe(start, "s", 2, SignalServing)
+	is.True(table.Absorb(start, Life{"s", 1}))
+	is.True(table.Allowed("s"))
+}
+
+// The platform's host list is empty for a minute, and every service would be
+// without servers. An empty or short list takes nobody out; a row that says
+// leaving does, once.
+func TestEmptyHostListTakesNobodyOut(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.HostList(start, []platform.ListedHost{row("s", 1, platform.StateLive), row("t", 1, platform.StateLive)})
+	table.HostList(start, nil)
+	is.True(table.Allowed("s"))
+	leaving := []platform.ListedHost{row("s", 1, platform.StateLeaving)}
+	is.Equal(table.HostList(start, leaving), []Life{{"s", 1}})
+	is.Equal(len(table.HostList(start, leaving)), 0)
+	is.True(!table.Allowed("s"))
+	is.True(table.Allowed("t"))
+	is.Equal(table.Left(), 1)
+}
+
+// In any order of signals, lists and news, with duplicates, a life that once
+// left is never allowed again, and a life without a word against it is.
+func TestOnlyANewLifeBringsAServerBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		left := make(map[uint64]bool)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			life := rapid.Uint64Range(1, 4).Draw(t, "life")
+			switch rapid.IntRange(0, 4).Draw(t, "source") {
+			case 0:
+				table.Observe(start, "s", life, SignalServing)
+			case 1:
+				table.HostList(start, []platform.ListedHost{row("s", life, platform.StateLive)})
+			case 2:
+				table.Observe(start, "s", life, SignalDraining)
+				left[life] = true
+			case 3:
+				table.HostList(start, []platform.ListedHost{row("s", life, platform.StateLeaving)})
+				left[life] = true
+			case 4:
+				table.Absorb(start, Life{"s", life})
+				left[life] = true
+			}
+			for l := uint64(1); l <= 4; l++ {
+				if table.AllowedLife(Life{"s", l}) == left[l] {
+					t.Fatalf("life %d: left %v", l, left[l])
+				}
+			}
+		}
+	})
+}
+
+// Restarts over years must not fill the memory.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range uint64(1000) {
+		table.Absorb(start, Life{"s", i + 1})
+	}
+	is.Equal(table.lives, livesPerServer)
+	table.HostList(start.Add(keepLife+time.Hour), nil)
+	is.Equal(len(table.servers), 0)
+	is.Equal(table.lives, 0)
+}
