--- a/answers.go
+++ b/answers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/front"
@@ -18,7 +20,46 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return h.run(ctx, q, work), nil
+	pass, refused := h.parts.Admission.Admit(h.parts.Now(), h.ask(q, work))
+	if refused != nil {
+		return nil, refused
+	}
+	answer := h.run(ctx, q, work)
+	h.parts.Admission.Done(h.parts.Now(), pass, observed(answer))
+	return answer, nil
+}
+
+// ask describes a query to the admission.
+func (h *Host) ask(q front.Query, work scatter.Work) admit.Ask {
+	_, class, _ := h.Config().Class(q.Class)
+	shards := work.Snapshot.Shards
+	services := make([]string, len(shards))
+	for i := range shards {
+		services[i] = shards[i].Service
+	}
+	return admit.Ask{
+		Caller:    q.Caller.Name,
+		Weight:    q.Caller.Weight,
+		Class:     class,
+		Deadline:  q.Deadline,
+		Bytes:     len(q.Body),
+		Services:  services,
+		LeastLegs: int(math.Ceil(work.LeastCoverage * float64(len(shards)))),
+	}
+}
+
+// observed tells the admission what became of a query.
+func observed(answer *scatter.Answer) admit.Observed {
+	group := answer.Code.Group()
+	o := admit.Observed{
+		Answered:  group == result.GroupComplete || group == result.GroupPartial,
+		Abandoned: answer.Code == result.Cancelled,
+		Legs:      make([]admit.Leg, len(answer.Legs)),
+	}
+	for i, l := range answer.Legs {
+		o.Legs[i] = admit.Leg{Service: l.Service, Time: l.Time, Wait: l.Wait, Missed: l.Missed}
+	}
+	return o
 }
 
 // Ticket implements front.Service.
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -68,6 +68,7 @@
 		Hedges:       uint32(r.Hedges),
 		RetryAfterNs: int64(r.RetryAfter),
 		Held:         held,
+		WaitNs:       int64(r.Wait),
 	}
 }
 
@@ -88,6 +89,7 @@
 		Hedges:     int(m.GetHedges()),
 		RetryAfter: time.Duration(m.GetRetryAfterNs()),
 		Held:       held,
+		Wait:       time.Duration(m.GetWaitNs()),
 	}
 	copy(r.Request[:], m.GetRequestId())
 	return r
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -26,9 +26,10 @@
 
 // Watcher hears what attempts tell of backend servers.
 type Watcher interface {
-	// Ended is called after each attempt, with the fingerprints of the
-	// requests that were in flight on the server at that moment.
-	Ended(server backend.Server, attempt backend.Attempt, inFlight []uint64)
+	// Started is called before an attempt is sent.
+	Started(id ident.AttemptID, server backend.Server, fingerprint uint64)
+	// Ended is called after each attempt.
+	Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt)
 }
 
 // Server runs the homes of this host. Its methods are safe for concurrent use.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -30,6 +30,8 @@
 type openLeg struct {
 	request  leg.Request
 	done     func(leg.Result)
+	came     time.Time
+	wait     time.Duration // until the first attempt; leg.UnknownWait before it
 	attempts int
 	hedges   int
 	// notHeld: the last attempt was refused since the server lacks the snapshot.
@@ -37,11 +39,9 @@
 }
 
 type openAttempt struct {
-	leg         home.LegID
-	server      string
-	fingerprint uint64
-	cancel      context.CancelFunc
-	end         backend.Attempt
+	leg    home.LegID
+	cancel context.CancelFunc
+	end    backend.Attempt
 }
 
 // ending is a leg's result that is handed out after the mutex is released, so
@@ -64,7 +64,7 @@
 
 func (s *service) submit(id home.LegID, class int, request leg.Request, done func(leg.Result)) {
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
-		s.legs[id] = &openLeg{request: request, done: done}
+		s.legs[id] = &openLeg{request: request, done: done, came: now, wait: leg.UnknownWait}
 		return s.home.Submit(now, home.Leg{
 			ID:          id,
 			Request:     request.Request,
@@ -155,18 +155,16 @@
 
 func (s *service) start(act home.Action) {
 	l := s.legs[act.Leg]
+	if l.attempts == 0 {
+		l.wait = s.server.now().Sub(l.came)
+	}
 	l.attempts++
 	if act.Hedge {
 		l.hedges++
 	}
 	s.server.counter.Attempt(s.name, act.Hedge, act.Retry)
 	ctx, cancel := context.WithDeadline(background, l.request.Deadline)
-	s.attempts[act.Attempt] = &openAttempt{
-		leg:         act.Leg,
-		server:      act.Server,
-		fingerprint: l.request.Fingerprint,
-		cancel:      cancel,
-	}
+	s.attempts[act.Attempt] = &openAttempt{leg: act.Leg, cancel: cancel}
 	call := backend.Call{
 		Request:    l.request.Request,
 		Attempt:    act.Attempt,
@@ -179,15 +177,14 @@
 		Idempotent: l.request.Idempotent,
 		Body:       l.request.Body,
 	}
-	go s.run(ctx, s.servers[act.Server], call)
+	s.server.watcher.Started(act.Attempt, s.servers[act.Server], l.request.Fingerprint)
+	go s.run(ctx, s.servers[act.Server], l.request.Fingerprint, call)
 }
 
-func (s *service) run(ctx context.Context, server backend.Server, call backend.Call) {
+func (s *service) run(ctx context.Context, server backend.Server, fingerprint uint64, call backend.Call) {
 	end := s.server.runner.Run(ctx, server, call)
 	s.server.counter.AttemptEnd(s.name, end.Fault)
-	var inFlight []uint64
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
-		inFlight = s.fingerprintsOn(server.Name)
 		s.note(s.attempts[call.Attempt], end)
 		acts = s.home.Finish(now, call.Attempt, home.End{
 			Outcome:    end.Outcome,
@@ -201,7 +198,7 @@
 	s.mu.Lock()
 	delete(s.attempts, call.Attempt)
 	s.mu.Unlock()
-	s.server.watcher.Ended(server, end, inFlight)
+	s.server.watcher.Ended(call.Attempt, server, fingerprint, end)
 }
 
 func (s *service) note(a *openAttempt, end backend.Attempt) {
@@ -212,17 +209,6 @@
 	}
 }
 
-// fingerprintsOn lists the requests in flight on a server.
-func (s *service) fingerprintsOn(server string) []uint64 {
-	var prints []uint64
-	for _, a := range s.attempts {
-		if a.server == server {
-			prints = append(prints, a.fingerprint)
-		}
-	}
-	return prints
-}
-
 func (s *service) end(act home.Action) (ending, bool) {
 	l, ok := s.legs[act.Leg]
 	if !ok {
@@ -232,6 +218,7 @@
 	r := leg.Failed(l.request, act.Code, act.Outcome, "")
 	r.Attempts = l.attempts
 	r.Hedges = l.hedges
+	r.Wait = l.wait
 	r.RetryAfter = act.RetryAfter
 	if l.notHeld {
 		r.Code = result.NoSnapshot
--- a/host.go
+++ b/host.go
@@ -132,6 +132,7 @@
 	}
 	run("member", h.join)
 	run("rollout", h.parts.Rollout.Run)
+	run("servers", h.parts.Servers.run)
 	run("catalog", h.parts.Catalog.Run)
 	run("peers", func(ctx context.Context) error { return h.parts.PeerServer.Serve(ctx, h.peersListener()) })
 	run("callers", func(context.Context) error { return serve(callers, h.parts.Listeners.callers, h.options.CallerTLS) })
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -39,12 +39,18 @@
 	Body     []byte
 	Digest   uint64 // of Body, made where the body was first received
 	// Held are the index's snapshots that the backend server holds, if it said so.
-	Held       []snapshot.Version
-	Attempts   int // sent to backend servers
-	Hedges     int // of these, hedges
+	Held     []snapshot.Version
+	Attempts int // sent to backend servers
+	Hedges   int // of these, hedges
+	// Wait is how long the leg waited at its home before its first attempt
+	// began; UnknownWait when none began or the home did not say.
+	Wait       time.Duration
 	RetryAfter time.Duration
 }
 
+// UnknownWait stands for a wait that is not known.
+const UnknownWait time.Duration = -1
+
 // Usable reports whether the result carries an answer.
 func (r Result) Usable() bool { return r.Code == 0 && r.Outcome == result.OutcomeRan }
 
@@ -66,5 +72,6 @@
 		Code:    code,
 		Outcome: outcome,
 		Detail:  detail,
+		Wait:    UnknownWait,
 	}
 }
--- a/parts.go
+++ b/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -10,6 +11,7 @@
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
@@ -17,6 +19,7 @@
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -60,6 +63,8 @@
 	Coordinator *scatter.Coordinator
 	Incarnation ident.Incarnation
 	Desk        *booking.Desk
+	Servers     *servers
+	Admission   *admit.Controller
 	Late        *late
 }
 
@@ -69,6 +74,8 @@
 	configNews func(member.ConfigNews)
 	runBooking booking.Runner
 	applied    func(*bundle.Config)
+	watcher    homeserver.Watcher
+	backend    func(member.BackendNews)
 }
 
 func (l *late) bind(h *Host) {
@@ -80,6 +87,8 @@
 	}
 	l.runBooking = h.runBooking
 	l.applied = h.configure
+	l.watcher = h.parts.Servers
+	l.backend = h.parts.Servers.absorb
 }
 
 // build wires every part in one place. Each constructor below names what it
@@ -105,7 +114,9 @@
 		newLocal,
 		newExchange,
 		newHomesPart,
+		newServers,
 		newCatalog,
+		newAdmission,
 		newCoordinator,
 		newDesk,
 		func() *late { return &late{} },
@@ -176,12 +187,13 @@
 			},
 			Seeds: s.Peers,
 		},
-		Pool:         pool,
-		HostList:     list,
-		Now:          now,
-		Logger:       log,
-		Registerer:   registry,
-		OnConfigNews: func(news member.ConfigNews) { later.configNews(news) },
+		Pool:          pool,
+		HostList:      list,
+		Now:           now,
+		Logger:        log,
+		Registerer:    registry,
+		OnConfigNews:  func(news member.ConfigNews) { later.configNews(news) },
+		OnBackendNews: func(news member.BackendNews) { later.backend(news) },
 	})
 }
 
@@ -232,8 +244,19 @@
 	return addresses
 }
 
-func newLocal(runner backend.Runner, metrics *observe.Metrics, now clock, configs *rollout.Agent) *homeserver.Server {
-	return homeserver.New(runner, metrics, noWatcher{}, now, configs.Config)
+func newLocal(runner backend.Runner, metrics *observe.Metrics, now clock, configs *rollout.Agent, later *late) *homeserver.Server {
+	return homeserver.New(runner, metrics, lateWatcher{later}, now, configs.Config)
+}
+
+// lateWatcher passes on to the watcher that is built after the homes.
+type lateWatcher struct{ later *late }
+
+func (w lateWatcher) Started(id ident.AttemptID, server backend.Server, fingerprint uint64) {
+	w.later.watcher.Started(id, server, fingerprint)
+}
+
+func (w lateWatcher) Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) {
+	w.later.watcher.Ended(id, server, fingerprint, end)
 }
 
 func newExchange(life lifetime, pool *peer.Pool, s settings.Settings, incarnation ident.Incarnation, now clock) *exchange.Client {
@@ -244,18 +267,37 @@
 	return newHomes(members.View, local, remote)
 }
 
-func newCatalog(s settings.Settings, store platform.Store, list platform.HostList, h *homes, local *homeserver.Server, pins *snapshot.Pins, log *zap.Logger) *catalog.Agent {
-	sink := &servers{
+func newServers(s settings.Settings, h *homes, local *homeserver.Server, pins *snapshot.Pins, members *member.Agent, log *zap.Logger, now clock) *servers {
+	return &servers{
 		region:  s.Host.Region,
 		zone:    s.Host.Zone,
 		homes:   h,
 		local:   local,
 		pins:    pins,
-		allowed: func(_ backend.Server, listed platform.HostState) bool { return listed == platform.StateLive },
+		members: members,
+		log:     log,
+		now:     now,
+		events:  make(chan func(), signalBuffer),
+		leaving: leaving.NewTable(),
 	}
+}
+
+func newCatalog(store platform.Store, list platform.HostList, sink *servers, log *zap.Logger) *catalog.Agent {
 	return catalog.NewAgent(store, list, sink, log)
 }
 
+func newAdmission(s settings.Settings) *admit.Controller {
+	limits := admit.Limits{
+		MaxConcurrent: s.Limits.MaxConcurrent,
+		MaxBytes:      s.Limits.MaxConcurrent * meanBodyBytes,
+	}
+	return admit.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// meanBodyBytes is what the bodies of all requests in flight may come to, for
+// each request that may be: 8 MiB at the default of 2048.
+const meanBodyBytes = 4 << 10
+
 func newCoordinator(h *homes, metrics *observe.Metrics, now clock, pins *snapshot.Pins) *scatter.Coordinator {
 	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
 }
@@ -285,8 +327,3 @@
 	}
 	return found.PeerAddress, true
 }
-
-// noWatcher hears the ends of attempts and does nothing with them.
-type noWatcher struct{}
-
-func (noWatcher) Ended(backend.Server, backend.Attempt, []uint64) {}
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -61,6 +61,8 @@
 	sentTo  []ident.HostID
 	moved   []bool // legs that went to the second home
 	maybe   []bool // of these, legs that may have run at the first
+	started time.Time
+	times   []LegTime
 	ended   atomic.Bool
 }
 
@@ -85,6 +87,8 @@
 		sentTo:  make([]ident.HostID, len(shards)),
 		moved:   make([]bool, len(shards)),
 		maybe:   make([]bool, len(shards)),
+		started: c.now(),
+		times:   make([]LegTime, len(shards)),
 	}
 	timer := time.NewTimer(CutOff(c.now(), work.Deadline, work.Prefer).Sub(c.now()))
 	defer timer.Stop()
@@ -104,7 +108,9 @@
 	}
 	r.ended.Store(true)
 	r.cancelRest()
-	return r.query.Answer()
+	answer := r.query.Answer()
+	answer.Legs = r.legTimes()
+	return answer
 }
 
 func (r *run) send(i int, host ident.HostID) {
@@ -146,6 +152,8 @@
 }
 
 func (r *run) take(a arrival) {
+	r.times[a.position].Time = r.c.now().Sub(r.started)
+	r.times[a.position].Wait = a.result.Wait
 	if len(a.result.Held) > 0 {
 		r.c.learn(r.work.Snapshot.Shards[a.position].Service, r.work.Index, a.result.Held)
 	}
@@ -200,6 +208,19 @@
 	return second
 }
 
+// legTimes completes the times: a leg without a result took at least until now.
+func (r *run) legTimes() []LegTime {
+	spent := r.c.now().Sub(r.started)
+	for i := range r.times {
+		t := &r.times[i]
+		t.Service = r.work.Snapshot.Shards[i].Service
+		if t.Time == 0 {
+			*t = LegTime{Service: t.Service, Time: spent, Wait: leg.UnknownWait, Missed: true}
+		}
+	}
+	return r.times
+}
+
 // cancelRest cancels what is under way. Cancelling a leg that has ended does
 // nothing; results that still come are left in the channel and dropped with it.
 func (r *run) cancelRest() {
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -60,6 +60,14 @@
 	Detail  string
 }
 
+// LegTime is how one leg went, as its root saw it.
+type LegTime struct {
+	Service string
+	Time    time.Duration // from the query's start until its result, or its end
+	Wait    time.Duration // at its home; leg.UnknownWait when not known
+	Missed  bool          // no result came in time
+}
+
 // Answer is the one terminal result of a query. Its coverage is len(Parts) of
 // Total: it is counted from the accepted replies, never declared.
 type Answer struct {
@@ -73,6 +81,8 @@
 	Attempts   int
 	Hedges     int
 	RetryAfter time.Duration
+	// Legs tells how each leg went, for the admission of later queries.
+	Legs []LegTime
 	// Stale: the query ended early for a restart, see Plan.Restartable.
 	Stale bool
 }
