--- a/rollout/submission.go
+++ b/rollout/submission.go
@@ -15,8 +15,9 @@
 	stepReadHead step = iota
 	// stepWriteHead moves the head from the version last read.
 	stepWriteHead
-	// stepReadHistory reads whether the history has the submission's manifest.
-	stepReadHistory
+	// stepReadAncestor reads the manifest that the walk down from the head has
+	// come to.
+	stepReadAncestor
 	// stepAccepted ends it: the manifest is or was the head.
 	stepAccepted
 	// stepConflict ends it: someone else's change came first.
@@ -36,16 +37,34 @@
 // Guard against operators who race: the head moves only from the very
 // configuration that the author started from, so of two changes of one parent
 // the second is refused, never merged or overwritten unseen.
-func (s submission) onHead(head bundle.Ref) step {
+//
+// Guard against stale reads: a head below the parent was read from a copy that
+// lags. Taken for the truth, it would make a change that is in force look
+// refused. It is read again until it is the parent at least.
+func (s submission) onHead(head, headParent bundle.Ref) step {
 	switch {
 	case head == s.self:
 		return stepAccepted
 	case head == s.parent:
 		return stepWriteHead
+	case head.Generation < s.parent.Generation:
+		return stepReadHead
 	case head.Generation > s.self.Generation:
-		// The head may have moved to this manifest and on from there while
-		// the reply was lost. The history tells.
-		return stepReadHistory
+		return s.onAncestor(headParent)
+	default:
+		return stepConflict
+	}
+}
+
+// onAncestor decides from an ancestor of the head. The head may have moved to
+// this manifest and on from there while the reply was lost; the ancestors tell
+// for sure, since they never change and each generation has one.
+func (s submission) onAncestor(ancestor bundle.Ref) step {
+	switch {
+	case ancestor == s.self:
+		return stepAccepted
+	case ancestor.Generation > s.self.Generation:
+		return stepReadAncestor
 	default:
 		return stepConflict
 	}
@@ -65,15 +84,6 @@
 	return stepReadHead
 }
 
-// onHistory decides from whether the history holds the submission's manifest.
-// Whoever moves the head on from a manifest has put it there before.
-func (s submission) onHistory(found bool) step {
-	if found {
-		return stepAccepted
-	}
-	return stepConflict
-}
-
 // mayHaveTakenEffect reports whether a failed write leaves the outcome open.
 // Only errors that the store defines as without effect are sure.
 func mayHaveTakenEffect(err error) bool {
--- a/rollout/submit.go
+++ b/rollout/submit.go
@@ -68,7 +68,7 @@
 //
 // The errors: *bundle.SignatureError and bundle.Problems refuse the change,
 // *ConflictError means that another came first, *UnknownError that the outcome
-// is open; any other means that it was not accepted.
+// is open; any other means that this submit did not move the head.
 func Submit(ctx context.Context, store platform.Store, signers bundle.Signers, change bundle.Change) (Receipt, error) {
 	s, err := newSubmitter(store, signers, change)
 	if err != nil {
@@ -85,6 +85,7 @@
 	logic    submission
 
 	head     acceptedHead // as last read
+	ancestor bundle.Ref   // where the walk down from the head has come to
 	written  int
 	prepared bool
 	// open is set by a write whose outcome the store did not tell.
@@ -145,12 +146,16 @@
 		if err != nil {
 			return stepReadHead, err
 		}
-		s.head = head
-		return s.logic.onHead(head.ref), nil
+		s.head, s.ancestor = head, head.manifest.Parent
+		next := s.logic.onHead(head.ref, head.manifest.Parent)
+		if next == stepReadHead {
+			return next, errStale
+		}
+		return next, nil
 	case stepWriteHead:
 		return s.writeHead(ctx)
-	case stepReadHistory:
-		return s.readHistory(ctx)
+	case stepReadAncestor:
+		return s.readAncestor(ctx)
 	default:
 		return current, errors.Errorf("submit has no step %d", current)
 	}
@@ -225,28 +230,36 @@
 	return changed
 }
 
-func (s *submitter) readHistory(ctx context.Context) (step, error) {
-	_, err := readManifest(ctx, s.store, s.head, s.logic.self)
+func (s *submitter) readAncestor(ctx context.Context) (step, error) {
+	signed, err := readManifest(ctx, s.store, s.head, s.ancestor)
 	if errors.Is(err, platform.ErrNotFound) {
-		return s.logic.onHistory(false), nil
+		return stepReadAncestor, errStale // it was written before its successor
+	}
+	if err != nil {
+		return stepReadAncestor, err
 	}
+	_, manifest, err := refOf(signed)
 	if err != nil {
-		return stepReadHistory, err
+		return stepReadAncestor, err
 	}
-	return s.logic.onHistory(true), nil
+	s.ancestor = manifest.Parent
+	return s.logic.onAncestor(s.ancestor), nil
 }
 
+// errStale: the store answers with a state older than one it has shown.
+var errStale = errors.New("the store's reads lag behind its writes")
+
 // retryable errors are outages; all others stay as they are.
 func retryable(err error) bool {
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrAmbiguous) ||
-		errors.Is(err, context.DeadlineExceeded)
+		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errStale)
 }
 
 func (s *submitter) failure(err error) error {
 	if s.open {
 		return &UnknownError{Ref: s.logic.self, Cause: err}
 	}
-	return errors.Wrapf(err, "generation %s was not accepted", s.logic.self)
+	return errors.Wrapf(err, "generation %s: this submit did not move the head; submit the same file again when the store answers", s.logic.self)
 }
 
 func (s *submitter) conflict(ctx context.Context) error {
