--- a/bench/cases.go
+++ b/bench/cases.go
@@ -28,12 +28,15 @@
 
 // Cases are the standard cases, in the order of the tables.
 func Cases() []Case {
-	return []Case{
+	return append(admissionCases(), []Case{
 		steady("steady-70", BookingDesk(), 0.70),
 		steady("steady-85", BookingDesk(), 0.85),
 		steady("transit-70", TransitPlanner(), 0.70),
 		steady("portal-70", BookingPortal(), 0.70),
 		steady("archive-70", Archive(), 0.70),
+		queueing(steady("steady-70-q", BookingDesk(), 0.70)),
+		queueing(steady("steady-85-q", BookingDesk(), 0.85)),
+		queueing(slowServer("slow-45-q", 0.45)),
 		burst(),
 		slowServer("slow-45", 0.45),
 		slowServer("slow-70", 0.70),
@@ -43,7 +46,7 @@
 		twoHomes(),
 		coldRestart(),
 		lyingReports(),
-	}
+	}...)
 }
 
 // CaseByName finds one of Cases.
@@ -64,6 +67,14 @@
 	return Case{Name: name, Story: "steady Poisson arrivals", Shape: shape, Load: load, Traffic: search()}
 }
 
+// queueing lets the backend servers keep two requests beyond their slots, in
+// place of shedding them.
+func queueing(c Case) Case {
+	c.Shape.ServerQueue = 2
+	c.Story += "; servers queue 2 requests"
+	return c
+}
+
 func burst() Case {
 	c := steady("burst", BookingDesk(), 0.40)
 	c.Story = "40% load, 5 times as much from second 4 to 6"
