--- a/scatter/query_test.go
+++ b/scatter/query_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	_ "github.com/goldcrestspan/goldcrestspan/internal/seeded"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -122,6 +123,7 @@
 	q := NewQuery(plan)
 	q.Take(goodReply(1))
 	q.Take(failed(2, result.NoSnapshot, result.OutcomeRefused))
+	is.True(q.Answer().Stale)
 	is.Equal(q.Answer().Code, result.SnapshotGone)
 	is.Equal(len(q.Answer().Parts), 0)
 }
