--- a/backend/client.go
+++ b/backend/client.go
@@ -31,7 +31,6 @@
 	maxReplyHeaderBytes  = 16 << 10
 	statusServerFailed   = http.StatusInternalServerError
 	statusRefusedNotRun  = http.StatusServiceUnavailable
-	contentTypeOfCall    = "application/json"
 	discardedRefusalBody = 4 << 10
 )
 
@@ -40,6 +39,9 @@
 	// ConnectionsPerServer bounds this host's connections to each server;
 	// default 24.
 	ConnectionsPerServer int
+	// Limit gives the bound for each server in place of ConnectionsPerServer.
+	// It is asked at each call and must be cheap; nil: none.
+	Limit func(Server) int
 	// MaxReplyBytes bounds one reply's body; default 4 MiB.
 	MaxReplyBytes int64
 	// DialTimeout bounds a new connection; default 500 ms.
@@ -93,8 +95,9 @@
 	scheme    string
 	transport *http.Transport
 
-	mu    sync.Mutex
-	pools map[string]*pool // by the server's address
+	mu      sync.Mutex
+	pools   map[string]*pool // by the server's address
+	sweeper *time.Timer      // of idle connections; nil until the first pool
 
 	dials, probes, silent, crossed, half atomic.Uint64
 }
@@ -133,44 +136,11 @@
 	}
 }
 
-// Connections returns the open connections to the server, busy ones included.
-func (c *Client) Connections(server Server) int {
-	open, _ := c.pool(server).counts()
-	return open
-}
-
-// Close drops the idle connections; calls in flight go on.
-func (c *Client) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.closeIdle()
-	}
-	return nil
-}
-
-// Forget drops the idle connections to a server that has left.
-func (c *Client) Forget(server Server) {
-	c.pool(server).closeIdle()
-}
-
-func (c *Client) pool(server Server) *pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.pools[server.Address]
-	if !ok {
-		p = &pool{limit: c.options.ConnectionsPerServer}
-		c.pools[server.Address] = p
-	}
-	return p
-}
-
 // Run implements Runner.
 func (c *Client) Run(ctx context.Context, server Server, call Call) Attempt {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	p := c.pool(server)
-	link, err := c.connect(ctx, p, server, call)
+	p, link, err := c.connect(ctx, server, call)
 	if err != nil {
 		return unsent(err)
 	}
@@ -197,20 +167,25 @@
 // A call that is not idempotent takes only a connection that was in use a
 // moment ago: on one that went silent while idle it would end as unknown
 // though it never ran, and an unknown booking costs a person's time.
-func (c *Client) connect(ctx context.Context, p *pool, server Server, call Call) (*conn, error) {
-	maxIdle := c.options.IdleFor
+func (c *Client) connect(ctx context.Context, server Server, call Call) (*pool, *conn, error) {
+	fresh := c.options.IdleFor
 	if !call.Idempotent {
-		maxIdle = c.options.FreshFor
+		fresh = c.options.FreshFor
+	}
+	p := c.pool(server)
+	link, err := p.take(time.Now(), fresh, c.limit(server))
+	for errors.Is(err, errRetired) {
+		p = c.pool(server)
+		link, err = p.take(time.Now(), fresh, c.limit(server))
 	}
-	link, err := p.take(time.Now(), maxIdle)
 	if link != nil || err != nil {
-		return link, err
+		return p, link, err
 	}
 	link, err = c.dial(ctx, server)
 	if err != nil {
 		p.forget()
 	}
-	return link, err
+	return p, link, err
 }
 
 func (c *Client) dial(ctx context.Context, server Server) (*conn, error) {
@@ -252,7 +227,10 @@
 	switch {
 	case watch.silent.Load():
 		return FaultSilent
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case !time.Now().Before(watch.call.Deadline):
+		// Asked of the clock, not of ctx: a server that gives up at the deadline
+		// can break the connection before our timer has fired, and must not
+		// look like one that died.
 		return FaultDeadline
 	case ctx.Err() != nil:
 		return FaultCancelled
@@ -268,7 +246,7 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		Header:        make(http.Header, 12),
+		Header:        make(http.Header, callHeaders),
 		Body:          io.NopCloser(bytes.NewReader(call.Body)),
 		ContentLength: int64(len(call.Body)),
 		Host:          server.Address,
@@ -276,8 +254,7 @@
 	if len(call.Body) == 0 {
 		request.Body = http.NoBody
 	}
-	setCallHeaders(request.Header, call, time.Until(call.Deadline))
-	set(request.Header, "Content-Type", contentTypeOfCall)
+	SetCallHeaders(request.Header, call, time.Until(call.Deadline))
 	return request.WithContext(ctx)
 }
 
@@ -335,12 +312,11 @@
 // the ones announced and asked for: a connection that breaks half-way would
 // otherwise pass off half an answer as a whole one.
 func (c *Client) readAnswer(ctx context.Context, watch *silenceWatch, response *http.Response, call Call) (Attempt, bool) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxReplyBytes+1))
+	body, err := readWhole(response, c.options.MaxReplyBytes)
 	if err != nil && (watch.silent.Load() || ctx.Err() != nil) {
 		return Attempt{Outcome: result.OutcomeUnknown, Fault: brokenFault(ctx, watch)}, false
 	}
-	whole := err == nil && int64(len(body)) <= c.options.MaxReplyBytes && int64(len(body)) == response.ContentLength
-	if !whole || response.Header.Get(HeaderDigest) != Digest(body) {
+	if err != nil || response.Header.Get(HeaderDigest) != Digest(body) {
 		c.half.Add(1)
 		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultHalfReply}, false
 	}
@@ -354,6 +330,23 @@
 	return Attempt{Outcome: result.OutcomeRan, Fault: FaultNone, Reply: reply}, true
 }
 
+// readWhole reads a body of the announced length, and its end, which frees the
+// connection for the next call.
+func readWhole(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength < 0 || response.ContentLength > limit {
+		return nil, errors.Errorf("length %d is unknown or over the limit", response.ContentLength)
+	}
+	body := make([]byte, response.ContentLength)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		return nil, err
+	}
+	var end [1]byte
+	if _, err := response.Body.Read(end[:]); err != io.EOF {
+		return nil, errors.New("the body is longer than announced")
+	}
+	return body, nil
+}
+
 // Health asks the server for its load, state and snapshots, on a connection of
 // its own.
 func (c *Client) Health(ctx context.Context, server Server) (Health, error) {
@@ -372,7 +365,7 @@
 		return health, errors.Wrapf(err, "health of %s", server.Name)
 	}
 	if asked != nil {
-		setEchoes(request.Header, *asked)
+		newHeaderWriter(request.Header, callHeaders).setEchoes(*asked)
 	}
 	response, err := link.http.RoundTrip(request)
 	if err != nil {
