--- a/host.go
+++ b/host.go
@@ -73,6 +73,9 @@
 // New builds a host and opens its listeners; Run starts it.
 func New(s settings.Settings, options Options) (*Host, error) {
 	options = options.withDefaults()
+	if err := options.openCertificates(s.TLS); err != nil {
+		return nil, err
+	}
 	live, end := context.WithCancel(context.Background())
 	built, err := build(live, s, options)
 	if err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -87,7 +87,9 @@
 	if p.tls == nil {
 		return newConn(raw), nil
 	}
-	secured := tls.Client(raw, p.tls)
+	config := p.tls.Clone()
+	config.ServerName, _, _ = net.SplitHostPort(address) // dialled, so it has both
+	secured := tls.Client(raw, config)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrapf(err, "TLS with peer %s", address)
