--- a/cli/root.go
+++ b/cli/root.go
@@ -14,6 +14,11 @@
 	}
 	root.AddCommand(newServeCommand())
 	root.AddCommand(newDemoCommand())
+	root.AddCommand(newQueryCommand())
+	root.AddCommand(newBookCommand())
+	root.AddCommand(newHostsCommand())
+	root.AddCommand(newStatusCommand())
+	root.AddCommand(newVersionCommand())
 	root.AddCommand(newResultCodesCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestspan/goldcrestspan"
+)
+
+// statusTimeout bounds asking one host.
+const statusTimeout = 3 * time.Second
+
+func newStatusCommand() *cobra.Command {
+	var output string
+	var scheme string
+	command := &cobra.Command{
+		Use:   "status IP:PORT",
+		Short: "Show one entry host's view, from its operators' listener",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			status, err := readStatus(cmd.Context(), scheme+"://"+args[0]+"/v1/status")
+			if err != nil {
+				return err
+			}
+			if output == outputJSON {
+				printJSON(cmd.OutOrStdout(), status)
+				return nil
+			}
+			printHostStatus(cmd.OutOrStdout(), status)
+			return nil
+		},
+	}
+	command.Flags().StringVar(&output, "output", outputText, "text or json")
+	command.Flags().StringVar(&scheme, "scheme", "http", "http or https")
+	return command
+}
+
+func readStatus(ctx context.Context, url string) (goldcrestspan.Status, error) {
+	var status goldcrestspan.Status
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return status, errors.Wrap(err, "address: give IP:port of the operators' listener")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, errors.Wrap(err, "ask the host")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return status, errors.Errorf("%s: HTTP status %d: is it the operators' listener?", url, response.StatusCode)
+	}
+	return status, errors.Wrap(json.NewDecoder(response.Body).Decode(&status), "read the status")
+}
+
+func printHostStatus(w io.Writer, s goldcrestspan.Status) {
+	fmt.Fprintf(w, "host %s, zone %s, region %s, incarnation %d\n", s.Host, s.Zone, s.Region, s.Incarnation)
+	fmt.Fprintf(w, "ready %t, %s, %d in flight", s.Ready, s.Phase, s.InFlight)
+	if s.Refusal != "" {
+		fmt.Fprintf(w, ", refuses: %s", s.Refusal)
+	}
+	fmt.Fprintf(w, "\nconfiguration generation %d, manifest %s\n", s.Generation, s.Manifest)
+	if s.Alarm != "" {
+		fmt.Fprintf(w, "ALARM %s\n", s.Alarm)
+	}
+	fmt.Fprintf(w, "%-20s %-12s %-8s %5s  %s\n", "entry host", "zone", "state", "load", "callers")
+	for _, h := range s.Hosts {
+		fmt.Fprintf(w, "%-20s %-12s %-8s %4.0f%%  %s\n", h.Host, h.Zone, h.State, float64(h.LoadPermille)/10, h.Callers)
+	}
+}
--- a/cmd/goldcrestspan/main.go
+++ b/cmd/goldcrestspan/main.go
@@ -12,6 +12,6 @@
 func main() {
 	if err := cli.NewRoot().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "goldcrestspan:", err)
-		os.Exit(1)
+		os.Exit(cli.ExitCode(err))
 	}
 }
--- a/control.go
+++ b/control.go
@@ -37,5 +37,6 @@
 		case <-ticker.C:
 		}
 	}
+	go h.measureLoad(ctx)
 	return h.parts.Member.Run(ctx)
 }
