--- a/booking/desk.go
+++ b/booking/desk.go
@@ -210,10 +210,22 @@
 // forward sends the booking to its issuer. Nothing that goes wrong on the way
 // is "not run": the issuer may have run an earlier sending, or this one.
 func (d *Desk) forward(ctx context.Context, t ticket, r Request) Result {
-	address, known := d.config.Peers.Issuer(t.host, t.incarnation)
-	if !known {
-		return d.recall(ctx, t, r)
+	outcome := Result{Code: result.IssuerGone, Detail: "the entry host that issued the ticket is gone"}
+	if address, known := d.config.Peers.Issuer(t.host, t.incarnation); known {
+		outcome = d.forwardTo(ctx, address, r)
 	}
+	if outcome.Code != result.IssuerGone && outcome.Code != result.OutcomeNotKnown {
+		return outcome
+	}
+	// After a planned stop others know more, also while the view still shows
+	// the host: its records exist only if it stopped for good.
+	if recalled, ok := d.recall(ctx, t, r); ok {
+		return recalled
+	}
+	return outcome
+}
+
+func (d *Desk) forwardTo(ctx context.Context, address string, r Request) Result {
 	d.count(&d.stats.Forwarded)
 	outcome, err := d.config.Peers.Forward(ctx, address, r)
 	if err != nil {
@@ -222,9 +234,6 @@
 			Detail: "the entry host that issued the ticket gave no answer; ask again with the same ticket",
 		}
 	}
-	if outcome.Code == result.IssuerGone {
-		return d.recall(ctx, t, r) // another life answers at its address
-	}
 	return outcome
 }
 
--- a/booking/handover.go
+++ b/booking/handover.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
-	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
 // stoppedLivesKept bounds the stopped lives that a host answers for.
@@ -53,19 +52,19 @@
 	return records.recall(sequence, content), true
 }
 
-// recall answers for a ticket whose issuer is gone: from the records of a
-// planned stop if there are any, else that its outcome is not known.
-func (d *Desk) recall(ctx context.Context, t ticket, r Request) Result {
+// recall asks those who may hold the records of the ticket's issuer, this host
+// first; false if nobody reachable does.
+func (d *Desk) recall(ctx context.Context, t ticket, r Request) (Result, bool) {
 	from := Life{Host: t.host, Incarnation: t.incarnation}
 	content := contentOf(r.Caller, r.Route, r.Body)
 	if outcome, ok := d.recallHere(from, t.sequence, content); ok {
-		return outcome
+		return outcome, true
 	}
 	for _, address := range d.config.Peers.Successors(t.host, t.incarnation) {
 		outcome, ok, err := d.config.Peers.Recall(ctx, address, from, t.sequence, content)
 		if err == nil && ok {
-			return outcome
+			return outcome, true
 		}
 	}
-	return Result{Code: result.IssuerGone, Detail: "the entry host that issued the ticket is gone"}
+	return Result{}, false
 }
--- a/booking/handover_test.go
+++ b/booking/handover_test.go
@@ -27,6 +27,9 @@
 	is.Equal(f.desks["a"].HandOver(context.Background()), 0) // it may still run tickets
 	is.True(f.desks["a"].Stop(context.Background()))
 	is.Equal(f.desks["a"].HandOver(context.Background()), 2)
+	f.cut = true // the host is down, and still in the view
+	is.Equal(string(f.book("b", Request{Ticket: used, Body: []byte("slot")}).Answer), "run 1")
+	f.cut = false
 	f.start("a", 2)
 	for _, host := range []string{"a", "b", "c"} {
 		is.Equal(string(f.book(host, Request{Ticket: used, Body: []byte("slot")}).Answer), "run 1")
--- a/front/front.go
+++ b/front/front.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -195,10 +196,11 @@
 		return e
 	}
 	if e := f.service.Ready(); e != nil {
+		e.Code = booking.AtDoor(e.Code, m.Resent)
 		return e
 	}
-	booking := Booking{Query: q, Ticket: m.Ticket, IdempotencyKey: m.IdempotencyKey, Resent: m.Resent}
-	code, raw, e := f.service.Book(x.r.Context(), booking)
+	b := Booking{Query: q, Ticket: m.Ticket, IdempotencyKey: m.IdempotencyKey, Resent: m.Resent}
+	code, raw, e := f.service.Book(x.r.Context(), b)
 	if e != nil {
 		return e
 	}
--- a/parts.go
+++ b/parts.go
@@ -271,6 +271,7 @@
 			Find: func(host ident.HostID, _ ident.Incarnation) (string, bool) {
 				return findIssuer(members.View(), host)
 			},
+			Serving: func() []string { return servingPeers(members.View()) },
 		},
 	})
 }
@@ -286,6 +287,17 @@
 	return found.PeerAddress, true
 }
 
+// servingPeers returns the peers' listeners of the other hosts that serve.
+func servingPeers(view *member.View) []string {
+	var addresses []string
+	for _, host := range view.Hosts {
+		if host.ID != view.Self && host.Serving() {
+			addresses = append(addresses, host.PeerAddress)
+		}
+	}
+	return addresses
+}
+
 // noWatcher hears the ends of attempts and does nothing with them.
 type noWatcher struct{}
 
--- a/stop.go
+++ b/stop.go
@@ -35,12 +35,32 @@
 			last = phase
 		}
 		if phase == drain.PhaseDone {
+			h.stopBookings(live, stop)
 			return
 		}
 		time.Sleep(stopPoll)
 	}
 }
 
+// handOverWait bounds handing the records of bookings to their successors.
+const handOverWait = 2 * time.Second
+
+// stopBookings waits for bookings that run on without their caller, at most
+// until the stop's limit, and hands over what became of all of them: a caller
+// that repeats one at another host would hear "unknown" otherwise.
+func (h *Host) stopBookings(live context.Context, stop *drain.Stop) {
+	desk := h.parts.Desk
+	limit, cancel := context.WithTimeout(live, max(0, stop.Remaining(h.parts.Now())))
+	defer cancel()
+	if !desk.Stop(limit) {
+		h.parts.Log.Warn("bookings still run at the stop's limit; they are handed over as unknown", zap.Int("running", desk.Stats().Running))
+	}
+	ctx, cancel := context.WithTimeout(live, handOverWait)
+	defer cancel()
+	taken := desk.HandOver(ctx)
+	h.parts.Log.Info("bookings handed over", zap.Int("records", desk.Stats().Records), zap.Int("successors", taken))
+}
+
 // leaveWait bounds telling the peers, which a host that has not joined can't.
 const leaveWait = time.Second
 
