--- /dev/null
+++ b/quarantine/book_test.go
@@ -0,0 +1,204 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+func died(server string, incarnation uint64, now time.Time, blamed ...Fingerprint) Death {
+	d := Death{Server: Server{Name: server, Service: simService, Incarnation: incarnation}}
+	for _, f := range blamed {
+		d.Blamed = append(d.Blamed, Blame{f, now.Add(-10 * time.Millisecond)})
+	}
+	return d
+}
+
+func condemnedBook(cfg *bundle.Config) (*Book, time.Time) {
+	b := NewBook(cfg)
+	b.Died(start, died("a", 1, start, poison))
+	now := start.Add(2 * time.Second)
+	b.Died(now, died("b", 1, now, poison))
+	return b, now
+}
+
+func TestFingerprintsReadBack(t *testing.T) {
+	is := is.New(t)
+	f := FingerprintOf("search", "screens", []byte("x"))
+	back, err := ParseFingerprint(f.String())
+	is.NoErr(err)
+	is.Equal(back, f)
+	is.True(f != FingerprintOf("searchs", "creens", []byte("x")))
+	_, err = ParseFingerprint("bad")
+	is.True(err != nil)
+}
+
+func TestVerdictExpires(t *testing.T) {
+	is := is.New(t)
+	b, now := condemnedBook(testBundle())
+	is.Equal(b.Judge(now, poison).Code, result.Quarantined)
+	is.Equal(b.Judge(now, 1), nil)
+	is.Equal(len(b.Entries(now)), 1)
+	later := now.Add(10*time.Minute + time.Second)
+	is.Equal(b.Judge(later, poison), nil)
+	is.Equal(len(b.ToNews(later)), 0)
+}
+
+// Two requests run on a server when it dies, and again on the next one. Both
+// look the same; then one of them is answered.
+func TestTieIsBrokenByAnAnswer(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(testBundle())
+	b.Died(start, died("a", 1, start, 1, poison))
+	now := start.Add(2 * time.Second)
+	_, condemned := b.Died(now, died("b", 1, now, 1, poison))
+	is.True(!condemned)
+	f, condemned := b.Answered(now.Add(time.Second), 1, simService)
+	is.True(condemned)
+	is.Equal(f, poison)
+	is.True(!b.Suspected(now, 1, simService))
+}
+
+// A rack loses its power: both servers of a service die, and servers of other
+// services with them. The request that ran on both is not to blame.
+func TestMassDeathBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(testBundle())
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * time.Minute)
+		other := died("z", uint64(i), now)
+		other.Service = "transit-planner-00"
+		b.Died(now, other)
+		_, condemned := b.Died(now, died("a", uint64(i), now, 7))
+		is.True(!condemned)
+	}
+}
+
+// A device between the hosts resets all connections to a server, which lives.
+// The request in flight is suspected, until the server's next answer.
+func TestServerThatAnswersAgainTakesTheBlameBack(t *testing.T) {
+	is := is.New(t)
+	b, track := NewBook(testBundle()), NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	track.Start(start, 1, server, 7)
+	track.Start(start, 2, server, 8)
+	is.Equal(track.End(start, 1, result.OutcomeUnknown, backend.FaultBroken, 0).Died, nil) // one break alone
+	event := track.End(start, 2, result.OutcomeUnknown, backend.FaultBroken, 0)
+	is.Equal(len(event.Died.Blamed), 2)
+	b.Died(start, *event.Died)
+	is.True(b.Suspected(start, 7, simService))
+	track.Start(start, 3, server, 9)
+	event = track.End(start, 3, result.OutcomeRan, backend.FaultNone, 1)
+	b.Lives(*event.Lives)
+	is.True(!b.Suspected(start, 7, simService))
+}
+
+// The request was cancelled a moment before the server died: the server had
+// not heard of it yet and crashed on it all the same.
+func TestCancelledRequestIsStillBlamed(t *testing.T) {
+	is := is.New(t)
+	track := NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	track.Start(start, 1, server, poison)
+	track.End(start, 1, result.OutcomeUnknown, backend.FaultCancelled, 0)
+	event := track.Incarnation(start.Add(time.Second), "a", 2)
+	is.Equal(event.Died.Blamed[0].Fingerprint, poison)
+	is.Equal(track.Incarnation(start.Add(time.Second), "a", 2), Event{})
+}
+
+func TestOperatorsOverrideInBothDirections(t *testing.T) {
+	is := is.New(t)
+	cfg, err := bundle.Compile(2, bundle.Documents{Quarantine: []bundle.QuarantineOverride{
+		{Fingerprint: poison.String(), Refuse: false, Reason: "mended"},
+		{Fingerprint: Fingerprint(1).String(), Refuse: true, Reason: "known to crash"},
+	}})
+	is.NoErr(err)
+	b, now := condemnedBook(testBundle())
+	b.Reconfigure(cfg)
+	is.Equal(b.Judge(now, poison), nil)
+	is.Equal(b.Judge(now, 1).Code, result.Quarantined)
+}
+
+// A verdict reaches the other hosts; it expires there, and a late copy of the
+// news arrives. The request must not be refused for another ten minutes.
+func TestAbsorbedVerdictIsNotRevivedByLateNews(t *testing.T) {
+	is := is.New(t)
+	from, now := condemnedBook(testBundle())
+	news := from.ToNews(now)
+	is.Equal(len(news), 2)
+	to := NewBook(testBundle())
+	is.Equal(to.Absorb(now, news), news)
+	is.Equal(len(to.Absorb(now, news)), 0)
+	is.Equal(to.Judge(now, poison).Code, result.Quarantined)
+	later := now.Add(11 * time.Minute)
+	to.Absorb(later, news)
+	is.Equal(to.Judge(later, poison), nil)
+	is.Equal(len(from.Absorb(later, news)), 0) // nor at its origin
+}
+
+// One query crashes a server of each of its services; a moment later the
+// services' other servers answer everyone else. It must not be sent again.
+func TestQueryThatLostEveryLegIsCondemnedOnceOthersAreAnswered(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(testBundle())
+	b.LostQuery(start, poison, []string{"a", "b", "c", "d"})
+	_, condemned := b.LegAnswered(start.Add(time.Millisecond), 1, "a")
+	is.True(!condemned)
+	f, condemned := b.LegAnswered(start.Add(time.Millisecond), 1, "b")
+	is.True(condemned)
+	is.Equal(f, poison)
+	is.Equal(b.Judge(start, poison).Code, result.Quarantined)
+
+	outage := NewBook(testBundle())
+	outage.LostQuery(start, 7, []string{"a", "b", "c"})
+	for _, service := range []string{"a", "b", "c"} {
+		_, condemned = outage.LegAnswered(start.Add(3*time.Second), 1, service)
+		is.True(!condemned) // everything was down and came back
+	}
+}
+
+// Whatever ends in whatever order: nothing of an attempt is left, and a
+// death blames only what ran on that server.
+func TestTrackerKeepsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		track := NewTracker()
+		now := start
+		open := map[ident.AttemptID]string{}
+		faults := []backend.Fault{backend.FaultNone, backend.FaultBroken, backend.FaultUnreachable, backend.FaultDeadline, backend.FaultCancelled}
+		for i := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			attempt := ident.AttemptID(i)
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server")
+			track.Start(now, attempt, Server{Name: name, Service: simService, Incarnation: 1}, Fingerprint(name[0]))
+			open[attempt] = name
+			if !rapid.Bool().Draw(t, "end") {
+				continue
+			}
+			fault := rapid.SampledFrom(faults).Draw(t, "fault")
+			outcome := map[bool]result.Outcome{true: result.OutcomeRan, false: result.OutcomeUnknown}[fault == backend.FaultNone]
+			event := track.End(now, attempt, outcome, fault, 0)
+			delete(open, attempt)
+			if event.Died == nil {
+				continue
+			}
+			for _, blame := range event.Died.Blamed {
+				if blame.Fingerprint != Fingerprint(event.Died.Name[0]) {
+					t.Fatalf("death of %s blames %v", event.Died.Name, blame)
+				}
+			}
+		}
+		for attempt := range open {
+			track.End(now, attempt, result.OutcomeRefused, backend.FaultShed, 0)
+		}
+		if len(track.attempts) != 0 {
+			t.Fatalf("left: %v", track.attempts)
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/sim_seeds_test.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	simSeeds     = 12
+	mostCrashes  = 3
+	simPoisons   = 100
+	simPoisonGap = 300 * time.Millisecond
+)
+
+func simCases() map[string]simCase {
+	base := simCase{
+		servers: 2, slots: 2, innocents: 300, poisons: simPoisons, poisonGap: simPoisonGap,
+		crashAfter: 10 * time.Millisecond, restart: 3 * time.Second, retry: true, length: 35 * time.Second,
+	}
+	large := base
+	large.servers, large.slots, large.innocents = 7, 6, 600
+	idle := base
+	idle.innocents = 5
+	breaks := base
+	breaks.breakEvery = 500 * time.Millisecond
+	slow := base
+	slow.crashAfter = 300 * time.Millisecond
+	return map[string]simCase{"busy": base, "large": large, "idle": idle, "breaks": breaks, "slow to crash": slow}
+}
+
+// A caller sends a request that crashes each server that runs it a hundred
+// times, over seconds, to a service that is busy with other requests. At most
+// three servers go down, the request is refused from then on, and no other
+// request ever is.
+func TestPoisonTakesDownThreeServersAtMost(t *testing.T) {
+	for name, c := range simCases() {
+		crashes := make(map[int]int)
+		for seed := uint64(1); seed <= simSeeds; seed++ {
+			c.seed = seed
+			s := runSim(c)
+			crashes[s.crashes]++
+			if s.crashes > mostCrashes || !s.condemned[poison] || len(s.condemned) != 1 {
+				t.Errorf("%s, seed %d: %d crashes, condemned %v", name, seed, s.crashes, s.condemned)
+			}
+		}
+		t.Log(name, "seeds by crashes:", fmt.Sprint(crashes))
+	}
+}
+
+// Servers crash by themselves, connections break and the power fails, over
+// and over, and no request is to blame. None may be refused for it.
+func TestNoInnocentIsCondemned(t *testing.T) {
+	for seed := uint64(1); seed <= simSeeds; seed++ {
+		is := is.New(t)
+		s := runSim(simCase{
+			seed: seed, servers: 2, slots: 2, innocents: 200, restart: 3 * time.Second, retry: true,
+			breakEvery: time.Second, crashEvery: 20 * time.Second, outageEvery: 40 * time.Second, length: 100 * time.Second,
+		})
+		is.Equal(len(s.condemned), 0) // of this seed
+	}
+}
