--- a/booking/desk_test.go
+++ b/booking/desk_test.go
@@ -88,6 +88,29 @@
 	return outcome, nil
 }
 
+// Successors implements Peers: every other host.
+func (f *fleet) Successors(host ident.HostID, _ ident.Incarnation) []string {
+	var others []string
+	for name := range f.desks {
+		if name != string(host) {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// HandOver implements Peers.
+func (f *fleet) HandOver(_ context.Context, address string, from Life, records Records) error {
+	f.desks[address].takeOver(from, records)
+	return nil
+}
+
+// Recall implements Peers.
+func (f *fleet) Recall(_ context.Context, address string, from Life, sequence uint64, content Digest) (Result, bool, error) {
+	outcome, ok := f.desks[address].recallHere(from, sequence, content)
+	return outcome, ok, nil
+}
+
 func (f *fleet) book(host string, r Request) Result {
 	r.RequestID = ident.NewRequestID()
 	r.Caller, r.Route = "desk", "book-slot"
@@ -307,3 +330,21 @@
 	is.Equal(f.runs["unused"], 0)
 	is.Equal(f.desks["a"].Stats().Records, 4)
 }
+
+// What a booking costs the platform: nothing with a ticket; with a key, the
+// claim, and the outcome's read and write.
+func TestStoreCallsOfABooking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a", "b")
+		f.book("a", Request{Ticket: f.ticket("b"), Body: []byte("ticket")})
+		is.Equal(f.store.Calls(), standin.PlatformCalls{})
+		f.book("a", Request{IdempotencyKey: "k", Body: []byte("key")})
+		synctest.Wait()
+		is.Equal(f.store.Calls(), standin.PlatformCalls{Put: 2, Get: 1})
+		f.book("a", Request{IdempotencyKey: "k", Body: []byte("key")})
+		is.Equal(f.store.Calls(), standin.PlatformCalls{Put: 2, Get: 1}) // from memory
+		f.book("b", Request{IdempotencyKey: "k", Body: []byte("key")})
+		is.Equal(f.store.Calls(), standin.PlatformCalls{Put: 3, Get: 2})
+	})
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -60,6 +60,14 @@
 	Detail  string
 }
 
+// LegTime is how one leg went, as its root saw it.
+type LegTime struct {
+	Service string
+	Time    time.Duration // from the query's start until its result, or its end
+	Wait    time.Duration // at its home; leg.UnknownWait when not known
+	Missed  bool          // no result came in time
+}
+
 // Answer is the one terminal result of a query. Its coverage is len(Parts) of
 // Total: it is counted from the accepted replies, never declared.
 type Answer struct {
@@ -73,6 +81,10 @@
 	Attempts   int
 	Hedges     int
 	RetryAfter time.Duration
+	// Legs tells how each leg went, for the admission of later queries.
+	Legs []LegTime
+	// Stale: the query ended early for a restart, see Plan.Restartable.
+	Stale bool
 }
 
 type shardState struct {
@@ -169,8 +181,7 @@
 		shard.code = result.SnapshotGone
 		shard.detail = "answered from another snapshot"
 	}
-	lacks := shard.code == result.SnapshotGone || shard.code == result.NoSnapshot
-	q.stale = q.stale || q.plan.Restartable && lacks
+	q.stale = q.stale || q.plan.Restartable && shard.code == result.NoSnapshot
 	if verdict == VerdictCorrupt {
 		shard.code = result.OutcomeNotKnown
 		shard.detail = "the reply was not whole"
@@ -192,6 +203,7 @@
 	q.closeOpen(result.Cancelled, "the caller went away")
 	q.finish()
 	q.answer.Code = result.Cancelled
+	q.answer.Parts = nil
 }
 
 func (q *Query) closeOpen(code result.Code, detail string) {
@@ -235,6 +247,7 @@
 		Total:    len(q.shards),
 		Attempts: q.attempts,
 		Hedges:   q.hedges,
+		Stale:    q.stale,
 	}
 	notRun := true
 	for i := range q.shards {
@@ -270,6 +283,7 @@
 	case len(a.Missing) == 0:
 		a.Code = result.Complete
 	case q.stale:
+		// Not a "not run" code: legs on other shards may have run.
 		a.Code = result.SnapshotGone
 	case q.covers(len(a.Parts)):
 		a.Code = result.Partial
