--- /dev/null
+++ b/bench/bounds.go
@@ -0,0 +1,166 @@
+package bench
+
+import (
+	_ "embed"
+	"fmt"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+//go:embed bounds.yaml
+var boundsFile []byte
+
+// Bounds are the home's regression bounds of bounds.yaml.
+type Bounds struct {
+	Seed    uint64  `yaml:"seed"`
+	Seconds int     `yaml:"seconds"` // virtual length of each run
+	Warmup  int     `yaml:"warmup"`  // virtual seconds that are not measured
+	Bounds  []Bound `yaml:"bounds"`
+}
+
+// Bound is the least or the most that a measure may be.
+type Bound struct {
+	Case    string   `yaml:"case"`
+	Policy  string   `yaml:"policy"`
+	Measure string   `yaml:"measure"`
+	Over    string   `yaml:"over"`  // policy whose measure divides this one
+	Class   *int     `yaml:"class"` // default: the first class of the case
+	Least   *float64 `yaml:"least"`
+	Most    *float64 `yaml:"most"`
+}
+
+// LoadBounds reads the bounds that the package was built with.
+func LoadBounds() (*Bounds, error) {
+	var file struct {
+		Home Bounds `yaml:"home"`
+	}
+	if err := yaml.Unmarshal(boundsFile, &file); err != nil {
+		return nil, errors.Wrap(err, "bounds.yaml")
+	}
+	return &file.Home, nil
+}
+
+// Checker runs the cases that bounds name, each case and policy once.
+type Checker struct {
+	bounds  *Bounds
+	results map[string]*Result
+}
+
+// NewChecker makes a checker of the bounds.
+func NewChecker(b *Bounds) *Checker {
+	return &Checker{bounds: b, results: make(map[string]*Result)}
+}
+
+// Check measures one bound; the error says by how much it is missed.
+func (c *Checker) Check(b Bound) (float64, error) {
+	value, err := c.measure(b, b.Policy)
+	if err != nil {
+		return 0, err
+	}
+	if b.Over != "" {
+		base, err := c.measure(b, b.Over)
+		if err != nil {
+			return 0, err
+		}
+		value /= base
+	}
+	if b.Least != nil && value < *b.Least {
+		return value, errors.Errorf("%s is %.4f, least %.4f", b, value, *b.Least)
+	}
+	if b.Most != nil && value > *b.Most {
+		return value, errors.Errorf("%s is %.4f, most %.4f", b, value, *b.Most)
+	}
+	return value, nil
+}
+
+// String names what is bounded.
+func (b Bound) String() string {
+	s := fmt.Sprintf("%s, %s: %s", b.Case, b.Policy, b.Measure)
+	if b.Over != "" {
+		s += " over " + b.Over
+	}
+	return s
+}
+
+func (c *Checker) measure(b Bound, policy string) (float64, error) {
+	r, err := c.run(b.Case, policy)
+	if err != nil {
+		return 0, err
+	}
+	class := r.firstClass()
+	if b.Class != nil {
+		class = *b.Class
+	}
+	value, ok := r.Measure(class, b.Measure)
+	if !ok {
+		return 0, errors.Errorf("%s: no such measure", b)
+	}
+	return value, nil
+}
+
+func (c *Checker) run(name, policy string) (*Result, error) {
+	key := name + "/" + policy
+	if r, ok := c.results[key]; ok {
+		return r, nil
+	}
+	cs, ok := CaseByName(name)
+	if !ok {
+		return nil, errors.Errorf("no case %q", name)
+	}
+	cs.Length = time.Duration(c.bounds.Seconds) * time.Second
+	cs.Warmup = time.Duration(c.bounds.Warmup) * time.Second
+	specs := cs.Policies
+	if len(specs) == 0 {
+		specs = Policies()
+	}
+	for _, spec := range specs {
+		if spec.Name == policy {
+			c.results[key] = Run(cs, spec, c.bounds.Seed)
+			return c.results[key], nil
+		}
+	}
+	return nil, errors.Errorf("case %s has no policy %q", name, policy)
+}
+
+func (r *Result) firstClass() int {
+	class := 0
+	for r.Classes[class] == nil {
+		class++
+	}
+	return class
+}
+
+// Measure is a figure of the run by its name in bounds.yaml; times are in
+// milliseconds.
+func (r *Result) Measure(class int, name string) (float64, bool) {
+	g := r.Classes[class]
+	if g == nil {
+		return 0, false
+	}
+	switch name {
+	case "p50":
+		return milliseconds(g.Latency(0.5)), true
+	case "p99":
+		return milliseconds(g.Latency(0.99)), true
+	case "p999":
+		return milliseconds(g.Latency(0.999)), true
+	case "coverage":
+		return g.Coverage(), true
+	case "full":
+		return g.FullShare(), true
+	case "goodput":
+		return g.Goodput(), true
+	case "extra":
+		return r.ExtraAttempts(), true
+	case "refused":
+		return r.RefusedPerLeg(), true
+	case "busy":
+		return milliseconds(r.BusyPerLeg()), true
+	default:
+		return 0, false
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/bench/plot.go
+++ b/bench/plot.go
@@ -1,8 +1,6 @@
 package bench
 
 import (
-	"time"
-
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
@@ -37,7 +35,7 @@
 func quantiles(g *Group) plotter.XYs {
 	var points plotter.XYs
 	for q := 0.5; q < 0.9995; q += 0.005 {
-		ms := float64(g.Latency(q)) / float64(time.Millisecond)
+		ms := milliseconds(g.Latency(q))
 		points = append(points, plotter.XY{X: q, Y: ms})
 	}
 	return points
--- a/home/server.go
+++ b/home/server.go
@@ -10,6 +10,8 @@
 const (
 	// reportLife is how long a server's own word on its load counts.
 	reportLife = time.Second
+	// regainAfter is how many answers give back a slot that a refusal took.
+	regainAfter = 24
 	// warmAfter is how many answers a new server gives before it gets as much
 	// at once as the others.
 	warmAfter = 16
@@ -35,6 +37,8 @@
 	warm         bool
 	answers      int // since the start of its incarnation
 	refusals     int // in a row
+	shared       int // slots that seem to be this home's; 0: all
+	regain       int // answers since shared changed
 	pausedUntil  time.Time
 	faults       int // in a row
 	ejections    int // in a row
@@ -83,10 +87,44 @@
 // as it answers, and costs at most a slot meanwhile. When no server is warm
 // (the whole service restarted) a limit would only take capacity away.
 func (s *server) limit(anyWarm bool) int {
+	limit := s.slots
+	if s.shared > 0 {
+		limit = s.shared
+	}
 	if s.warm || !anyWarm {
-		return s.slots
+		return limit
+	}
+	return min(limit, 1+s.answers*(s.slots-1)/warmAfter)
+}
+
+// cut lowers the slots this home counts on to what it had running when the
+// server refused more.
+//
+// Load: views differ, and two hosts act as the home for seconds. Harm
+// prevented: both fill all slots, a third of the attempts is refused, and the
+// retry budget is spent on them until legs fail. Reason for the limits: one
+// slot is kept, so that the server's recovery is seen; one comes back after
+// regainAfter answers, so that a home that is alone again has all of them
+// within a tenth of a second.
+func (s *server) cut() {
+	s.shared = max(1, min(len(s.running), s.slots))
+	s.regain = 0
+}
+
+// regained gives a slot back after enough answers.
+func (s *server) regained() {
+	if s.shared == 0 {
+		return
+	}
+	s.regain++
+	if s.regain < regainAfter {
+		return
+	}
+	s.regain = 0
+	s.shared++
+	if s.shared >= s.slots {
+		s.shared = 0
 	}
-	return 1 + s.answers*(s.slots-1)/warmAfter
 }
 
 // expected is the service time in seconds to expect for a class, counting the
@@ -149,6 +187,7 @@
 	if s.answers >= warmAfter {
 		s.warm = true
 	}
+	s.regained()
 	s.refusals, s.faults, s.ejections = 0, 0, 0
 	s.pausedUntil, s.ejectedUntil = time.Time{}, time.Time{}
 }
@@ -161,6 +200,7 @@
 // first pause is about the time until a slot is free; a server that refuses
 // again and again is asked a few times a second only.
 func (s *server) refused(now time.Time, slotTime, hint time.Duration) {
+	s.cut()
 	pause := max(slotTime, leastPause) << min(s.refusals, 8)
 	s.refusals++
 	pause = max(min(pause, mostPause), min(hint, time.Second))
