--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -58,8 +58,11 @@
 	work    Work
 	results chan arrival
 	cancels []func()
+	sentTo  []ident.HostID
 	moved   []bool // legs that went to the second home
 	maybe   []bool // of these, legs that may have run at the first
+	started time.Time
+	times   []LegTime
 	ended   atomic.Bool
 }
 
@@ -81,8 +84,11 @@
 		work:    work,
 		results: make(chan arrival, homesPerLeg*len(shards)),
 		cancels: make([]func(), len(shards)),
+		sentTo:  make([]ident.HostID, len(shards)),
 		moved:   make([]bool, len(shards)),
 		maybe:   make([]bool, len(shards)),
+		started: c.now(),
+		times:   make([]LegTime, len(shards)),
 	}
 	timer := time.NewTimer(CutOff(c.now(), work.Deadline, work.Prefer).Sub(c.now()))
 	defer timer.Stop()
@@ -102,11 +108,14 @@
 	}
 	r.ended.Store(true)
 	r.cancelRest()
-	return r.query.Answer()
+	answer := r.query.Answer()
+	answer.Legs = r.legTimes()
+	return answer
 }
 
 func (r *run) send(i int, host ident.HostID) {
 	request := r.request(i)
+	r.sentTo[i] = host
 	runner, ok := r.c.homes.Runner(host)
 	if !ok {
 		r.results <- arrival{i, leg.Failed(request, result.HomeUnavailable, result.OutcomeUnsent, "no home for the service")}
@@ -143,6 +152,8 @@
 }
 
 func (r *run) take(a arrival) {
+	r.times[a.position].Time = r.c.now().Sub(r.started)
+	r.times[a.position].Wait = a.result.Wait
 	if len(a.result.Held) > 0 {
 		r.c.learn(r.work.Snapshot.Shards[a.position].Service, r.work.Index, a.result.Held)
 	}
@@ -165,23 +176,51 @@
 // leg that may have run only if it is idempotent; both homes at once
 // over-commit the backend servers for a moment, and they shed.
 func (r *run) failOver(a arrival) bool {
-	if a.result.Code != result.HomeUnavailable || r.moved[a.position] {
+	if !homeLost(a.result.Code) || r.moved[a.position] {
 		return false
 	}
 	if !a.result.Outcome.NotRun() && !r.work.Idempotent {
 		return false
 	}
-	_, second := r.c.homes.Of(r.work.Snapshot.Shards[a.position].Service)
-	if second == "" {
+	other := r.otherHome(a.position)
+	if other == "" {
 		return false
 	}
 	r.moved[a.position] = true
 	r.maybe[a.position] = !a.result.Outcome.NotRun()
 	r.c.counter.Failover()
-	r.send(a.position, second)
+	r.send(a.position, other)
 	return true
 }
 
+// homeLost reports whether a home said that it is none, or said nothing.
+func homeLost(code result.Code) bool {
+	return code == result.HomeUnavailable || code == result.NotReady
+}
+
+// otherHome is the home to try when the one that the leg was sent to is lost.
+// It is the first one if membership has moved the home meanwhile.
+func (r *run) otherHome(position int) ident.HostID {
+	first, second := r.c.homes.Of(r.work.Snapshot.Shards[position].Service)
+	if first != r.sentTo[position] {
+		return first
+	}
+	return second
+}
+
+// legTimes completes the times: a leg without a result took at least until now.
+func (r *run) legTimes() []LegTime {
+	spent := r.c.now().Sub(r.started)
+	for i := range r.times {
+		t := &r.times[i]
+		t.Service = r.work.Snapshot.Shards[i].Service
+		if t.Time == 0 {
+			*t = LegTime{Service: t.Service, Time: spent, Wait: leg.UnknownWait, Missed: true}
+		}
+	}
+	return r.times
+}
+
 // cancelRest cancels what is under way. Cancelling a leg that has ended does
 // nothing; results that still come are left in the channel and dropped with it.
 func (r *run) cancelRest() {
--- a/stop.go
+++ b/stop.go
@@ -26,9 +26,7 @@
 	stop := drain.Begin(h.parts.Now(), keep, h.parts.Settings.Limits.StopWait)
 	h.stop.Store(stop)
 	h.parts.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.parts.Now())))
-	if err := h.parts.Member.Leave(live); err != nil {
-		h.parts.Log.Warn("peers were not told of the stop", zap.Error(err))
-	}
+	h.leave(live)
 	last := drain.PhaseServing
 	for live.Err() == nil {
 		phase := stop.Phase(h.parts.Now(), h.busy())
@@ -37,12 +35,43 @@
 			last = phase
 		}
 		if phase == drain.PhaseDone {
+			h.stopBookings(live, stop)
 			return
 		}
 		time.Sleep(stopPoll)
 	}
 }
 
+// handOverWait bounds handing the records of bookings to their successors.
+const handOverWait = 2 * time.Second
+
+// stopBookings waits for bookings that run on without their caller, at most
+// until the stop's limit, and hands over what became of all of them: a caller
+// that repeats one at another host would hear "unknown" otherwise.
+func (h *Host) stopBookings(live context.Context, stop *drain.Stop) {
+	desk := h.parts.Desk
+	limit, cancel := context.WithTimeout(live, max(0, stop.Remaining(h.parts.Now())))
+	defer cancel()
+	if !desk.Stop(limit) {
+		h.parts.Log.Warn("bookings still run at the stop's limit; they are handed over as unknown", zap.Int("running", desk.Stats().Running))
+	}
+	ctx, cancel := context.WithTimeout(live, handOverWait)
+	defer cancel()
+	taken := desk.HandOver(ctx)
+	h.parts.Log.Info("bookings handed over", zap.Int("records", desk.Stats().Records), zap.Int("successors", taken))
+}
+
+// leaveWait bounds telling the peers, which a host that has not joined can't.
+const leaveWait = time.Second
+
+func (h *Host) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	if err := h.parts.Member.Leave(ctx); err != nil {
+		h.parts.Log.Warn("peers were not told of the stop", zap.Error(err))
+	}
+}
+
 // busy counts the callers' requests and the peers' legs in flight.
 func (h *Host) busy() int { return int(h.inFlight.Load()) + h.parts.Local.Open() }
 
