--- a/answers.go
+++ b/answers.go
@@ -10,12 +10,16 @@
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
 // Query implements front.Service.
 func (h *Host) Query(ctx context.Context, q front.Query) (*scatter.Answer, *result.Error) {
+	if refused := h.parts.Crashes.book.Judge(h.parts.Now(), fingerprint(q)); refused != nil {
+		return nil, refused
+	}
 	work, refused := h.plan(q)
 	if refused != nil {
 		return nil, refused
@@ -26,9 +30,16 @@
 	}
 	answer := h.run(ctx, q, work)
 	h.parts.Admission.Done(h.parts.Now(), pass, observed(answer))
+	h.parts.Crashes.answered(fingerprint(q), answer)
 	return answer, nil
 }
 
+// fingerprint tells requests apart for the quarantine: the same route, caller
+// and body crash the same servers.
+func fingerprint(q front.Query) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(q.Route.Name, q.Caller.Name, q.Body)
+}
+
 // ask describes a query to the admission.
 func (h *Host) ask(q front.Query, work scatter.Work) admit.Ask {
 	_, class, _ := h.Config().Class(q.Class)
@@ -93,6 +104,9 @@
 	if refused != nil {
 		return booking.Result{Code: refused.Code, Detail: refused.Detail}
 	}
+	if refused := h.parts.Crashes.book.Judge(h.parts.Now(), fingerprint(q)); refused != nil {
+		return booking.Result{Code: refused.Code, Detail: refused.Detail}
+	}
 	work, refused := h.plan(q)
 	if refused != nil {
 		return booking.Result{Code: refused.Code, Detail: refused.Detail}
--- a/cli/status.go
+++ b/cli/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,6 +72,9 @@
 	if s.Alarm != "" {
 		fmt.Fprintf(w, "ALARM %s\n", s.Alarm)
 	}
+	for _, q := range s.Quarantine {
+		fmt.Fprintf(w, "quarantined request %s until %s, servers lost: %s\n", q.Hex, q.Until.Format(time.RFC3339), strings.Join(q.Servers, ", "))
+	}
 	fmt.Fprintf(w, "%-20s %-12s %-8s %5s  %s\n", "entry host", "zone", "state", "load", "callers")
 	for _, h := range s.Hosts {
 		fmt.Fprintf(w, "%-20s %-12s %-8s %4.0f%%  %s\n", h.Host, h.Zone, h.State, float64(h.LoadPermille)/10, h.Callers)
--- a/client/client.go
+++ b/client/client.go
@@ -211,7 +211,7 @@
 	case result.ResendLater:
 		return refused.RetryAfter, true
 	case result.ResendIdempotent:
-		return 0, idempotent && refused.Code != result.DeadlineExceeded
+		return refused.RetryAfter, idempotent && refused.Code != result.DeadlineExceeded
 	default:
 		return 0, false
 	}
--- a/control.go
+++ b/control.go
@@ -16,6 +16,7 @@
 func (h *Host) configure(config *bundle.Config) {
 	h.parts.Local.Refresh()
 	h.parts.Admission.Reconfigure(config)
+	h.parts.Crashes.book.Reconfigure(config)
 	news := h.parts.Rollout.News()
 	h.parts.Member.AnnounceConfig(news.GetGeneration(), news.GetManifestHash())
 	h.parts.Log.Info("configuration in force", zap.Uint64("generation", config.Generation))
--- a/home/home.go
+++ b/home/home.go
@@ -66,6 +66,8 @@
 	Load       backend.Load // valid when HasLoad
 	HasLoad    bool
 	RetryAfter time.Duration
+	// NoRetry: the request may have crashed the server, and would crash the next.
+	NoRetry bool
 }
 
 // ServerSpec is a backend server of the home's service.
--- a/home/settle.go
+++ b/home/settle.go
@@ -88,7 +88,7 @@
 // Load: a service of which every server refuses. Harm prevented: a retry
 // storm, and a booking that runs twice. See retry.Budget for the limit.
 func (h *Home) mayRetry(l *leg, end End, now time.Time) bool {
-	if h.cfg.RetryBudget <= 0 || !h.canMeet(l, now) || l.started >= attemptsFor(end) {
+	if end.NoRetry || h.cfg.RetryBudget <= 0 || !h.canMeet(l, now) || l.started >= attemptsFor(end) {
 		return false
 	}
 	if !l.worst.NotRun() && !l.Idempotent {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -28,8 +28,11 @@
 type Watcher interface {
 	// Started is called before an attempt is sent.
 	Started(id ident.AttemptID, server backend.Server, fingerprint uint64)
-	// Ended is called after each attempt.
-	Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt)
+	// Ended is called after each attempt. It reports whether the request is
+	// suspected of having crashed the server; its leg is then not retried.
+	Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) (suspect bool)
+	// Refuse is asked before a leg is queued; nil lets it in.
+	Refuse(request leg.Request) *result.Error
 }
 
 // Server runs the homes of this host. Its methods are safe for concurrent use.
@@ -115,6 +118,12 @@
 		done(*failure)
 		return func() {}
 	}
+	if e := s.watcher.Refuse(request); e != nil {
+		r := leg.Failed(request, e.Code, result.OutcomeUnsent, e.Detail)
+		r.RetryAfter = e.RetryAfter
+		done(r)
+		return func() {}
+	}
 	id := home.LegID(s.nextLeg.Add(1))
 	svc.submit(id, class, request, done)
 	return func() { svc.cancel(id) }
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -184,6 +184,7 @@
 func (s *service) run(ctx context.Context, server backend.Server, fingerprint uint64, call backend.Call) {
 	end := s.server.runner.Run(ctx, server, call)
 	s.server.counter.AttemptEnd(s.name, end.Fault)
+	suspect := s.server.watcher.Ended(call.Attempt, server, fingerprint, end)
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
 		s.note(s.attempts[call.Attempt], end)
 		acts = s.home.Finish(now, call.Attempt, home.End{
@@ -192,13 +193,13 @@
 			Load:       end.Reply.Load,
 			HasLoad:    end.Reply.Incarnation != 0,
 			RetryAfter: end.RetryAfter,
+			NoRetry:    suspect,
 		}, acts)
 		return acts
 	})
 	s.mu.Lock()
 	delete(s.attempts, call.Attempt)
 	s.mu.Unlock()
-	s.server.watcher.Ended(call.Attempt, server, fingerprint, end)
 }
 
 func (s *service) note(a *openAttempt, end backend.Attempt) {
--- a/operators.go
+++ b/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
 )
 
 // Status is one host's view, as the operators' listener gives it at /v1/status.
@@ -25,6 +26,9 @@
 	Alarm       string       `json:"alarm,omitempty"`
 	InFlight    int          `json:"in_flight"`
 	Hosts       []HostStatus `json:"hosts"`
+	// Quarantine lists the requests that are refused because they crashed
+	// backend servers.
+	Quarantine []quarantine.Entry `json:"quarantine,omitempty"`
 }
 
 // HostStatus is one entry host as the local host sees it.
@@ -49,6 +53,7 @@
 		Alarm:       h.parts.Rollout.Alarm(),
 		InFlight:    h.busy(),
 	}
+	s.Quarantine = h.parts.Crashes.book.Entries(h.parts.Now())
 	if ref := h.parts.Rollout.InForce(); !ref.IsZero() {
 		s.Generation = ref.Generation
 		s.Manifest = ref.Hash.Short()
--- a/parts.go
+++ b/parts.go
@@ -20,11 +20,14 @@
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leaving"
+	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
+	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 	"github.com/goldcrestspan/goldcrestspan/settings"
@@ -65,6 +68,7 @@
 	Desk        *booking.Desk
 	Servers     *servers
 	Admission   *admit.Controller
+	Crashes     *crashes
 	Late        *late
 }
 
@@ -76,6 +80,7 @@
 	applied    func(*bundle.Config)
 	watcher    homeserver.Watcher
 	backend    func(member.BackendNews)
+	suspect    func(member.SuspectRequestNews)
 }
 
 func (l *late) bind(h *Host) {
@@ -87,7 +92,8 @@
 	}
 	l.runBooking = h.runBooking
 	l.applied = h.configure
-	l.watcher = h.parts.Servers
+	l.watcher = h.parts.Crashes
+	l.suspect = h.parts.Crashes.absorb
 	l.backend = h.parts.Servers.absorb
 }
 
@@ -117,6 +123,7 @@
 		newServers,
 		newCatalog,
 		newAdmission,
+		newCrashes,
 		newCoordinator,
 		newDesk,
 		func() *late { return &late{} },
@@ -194,6 +201,8 @@
 		Registerer:    registry,
 		OnConfigNews:  func(news member.ConfigNews) { later.configNews(news) },
 		OnBackendNews: func(news member.BackendNews) { later.backend(news) },
+
+		OnSuspectRequest: func(news member.SuspectRequestNews) { later.suspect(news) },
 	})
 }
 
@@ -255,8 +264,24 @@
 	w.later.watcher.Started(id, server, fingerprint)
 }
 
-func (w lateWatcher) Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) {
-	w.later.watcher.Ended(id, server, fingerprint, end)
+func (w lateWatcher) Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) bool {
+	return w.later.watcher.Ended(id, server, fingerprint, end)
+}
+
+func (w lateWatcher) Refuse(request leg.Request) *result.Error {
+	return w.later.watcher.Refuse(request)
+}
+
+func newCrashes(s *servers, members *member.Agent, log *zap.Logger, now clock) (*crashes, error) {
+	none, err := bundle.Compile(0, bundle.Documents{})
+	return &crashes{
+		servers: s,
+		book:    quarantine.NewBook(none),
+		tracker: quarantine.NewTracker(),
+		members: members,
+		log:     log,
+		now:     now,
+	}, err
 }
 
 func newExchange(life lifetime, pool *peer.Pool, s settings.Settings, incarnation ident.Incarnation, now clock) *exchange.Client {
--- a/servers.go
+++ b/servers.go
@@ -8,7 +8,6 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
-	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/place"
@@ -67,12 +66,9 @@
 	}
 }
 
-// Started implements homeserver.Watcher.
-func (s *servers) Started(ident.AttemptID, backend.Server, uint64) {}
-
-// Ended implements homeserver.Watcher: a server's own word that it is leaving
-// counts at once, long before the host list says so.
-func (s *servers) Ended(_ ident.AttemptID, server backend.Server, _ uint64, end backend.Attempt) {
+// ended takes a server's own word that it is leaving, which counts at once,
+// long before the host list says so.
+func (s *servers) ended(server backend.Server, end backend.Attempt) {
 	if !end.Reply.Load.Draining && end.Fault != backend.FaultDraining {
 		return
 	}
--- a/service.go
+++ b/service.go
@@ -47,24 +47,11 @@
 		Index:       q.Route.Index,
 		Class:       q.Class,
 		Caller:      q.Caller.Name,
-		Fingerprint: fingerprint(q),
+		Fingerprint: uint64(fingerprint(q)),
 		Body:        q.Body,
 	}, nil
 }
 
-// fingerprint tells requests apart for the quarantine: the same route, caller
-// and body crash the same servers.
-func fingerprint(q front.Query) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, part := range []string{q.Route.Name, q.Caller.Name} {
-		_, _ = digest.WriteString(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(q.Body)
-	return digest.Sum64()
-}
-
 // run runs a query, and once more, whole, if a replica turned out to lack the
 // pinned snapshot and the time allows. The second run is on the snapshot that
 // is best then; if that is the same one, its answer is partial.
--- a/testbed/small_test.go
+++ b/testbed/small_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/client"
 	"github.com/goldcrestspan/goldcrestspan/settings"
@@ -157,3 +158,5 @@
 	defer cancel()
 	return c.Query(ctx, routeName, client.Query{Body: []byte(body), Detail: true})
 }
+
+func bodyDigest(body string) string { return backend.Digest([]byte(body)) }
