--- a/home/leg.go
+++ b/home/leg.go
@@ -25,7 +25,7 @@
 	Leg
 	place    queued
 	attempts [maxRunning]*attempt
-	avoid    *server // refused or lost it last
+	avoid    *server // failed it last, or lacks its snapshot
 	worst    result.Outcome
 	started  int  // attempts so far
 	unknowns int  // attempts that ended unknown
@@ -68,7 +68,7 @@
 }
 
 // avoids reports whether the leg must or should not go to the server: one
-// that runs it already, or the one that refused it while there are others.
+// that runs it already, or the one that failed it while there are others.
 func (l *leg) avoids(s *server, usable int) bool {
 	for _, a := range l.attempts {
 		if a != nil && a.server == s {
--- a/home/settle.go
+++ b/home/settle.go
@@ -39,7 +39,9 @@
 	if !paced(end) && !h.retryBudget.Spend() {
 		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
 	}
-	l.avoid = a.server
+	if !countsAsRefusal(end) {
+		l.avoid = a.server // after a refusal the server's pause is enough
+	}
 	l.place = inWaiting
 	h.bytes += l.Bytes
 	h.classes[l.Class].waiting.insert(l)
