--- a/cli/root.go
+++ b/cli/root.go
@@ -19,5 +19,6 @@
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
 	root.AddCommand(newBenchCommand())
+	root.AddCommand(newLoadCommand())
 	return root
 }
--- /dev/null
+++ b/load/print.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/goldcrestspan/goldcrestspan/testbed"
+)
+
+// maxBrokenShown bounds the broken promises that the text names; JSON has all.
+const maxBrokenShown = 50
+
+// WriteJSON writes the report for programs.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "\nshape %s, %d hosts, %.0f%% of slots, times x%g, %s, seed %d\n", r.Shape, r.Hosts, 100*r.Share, r.Scale, r.For, r.Seed)
+	for _, side := range r.Sides {
+		side.writeText(w)
+	}
+	for _, ratio := range r.Ratios {
+		fmt.Fprintf(w, "tier / direct  %-12s p50 %.2f  p99 %.2f  p99.9 %.2f\n", ratio.Class, ratio.P50, ratio.P99, ratio.P999)
+	}
+	fmt.Fprintf(w, "processor: %.1f cores, %.0f us for each backend run (callers and stand-ins included); peak memory %d MB; sender late by p99 %.1f ms\n",
+		r.CPUCores, r.CPUPerLeg, r.PeakMemory>>20, r.SenderLateP99)
+	r.writePromises(w)
+}
+
+func (s SideReport) writeText(w io.Writer) {
+	fmt.Fprintf(w, "\n%-8s %-12s %7s %9s %9s %9s %9s %9s %9s  results\n", s.Name, "class", "count", "p50 ms", "p99 ms", "p99.9 ms", "answered", "complete", "coverage")
+	for _, c := range s.Rows {
+		fmt.Fprintf(w, "%-8s %-12s %7d %9.1f %9.1f %9.1f %8.2f%% %8.2f%% %8.2f%%  %s\n", "", c.Class, c.Count, c.P50, c.P99, c.P999,
+			100*c.Answered, 100*c.Complete, 100*c.Coverage, codesText(c.Codes))
+	}
+	fmt.Fprintf(w, "%-8s extra backend load %.2f%% (%d runs for %d legs), %d answers after their deadline, %d not sent\n\n", "",
+		100*s.ExtraLoad, s.Runs, s.Legs, s.Late, s.Dropped)
+}
+
+func codesText(codes map[string]int) string {
+	var words []string
+	for _, name := range slices.Sorted(maps.Keys(codes)) {
+		words = append(words, fmt.Sprintf("%s=%d", name, codes[name]))
+	}
+	return strings.Join(words, " ")
+}
+
+func (r *Report) writePromises(w io.Writer) {
+	if !r.hasTier() {
+		return
+	}
+	if r.PoisonRuns > 0 {
+		fmt.Fprintf(w, "requests that crash servers ran %d times\n", r.PoisonRuns)
+	}
+	for _, b := range r.Broken[:min(len(r.Broken), maxBrokenShown)] {
+		fmt.Fprintln(w, "BROKEN", b)
+	}
+	if len(r.Broken) == 0 {
+		fmt.Fprintf(w, "%d replies checked against the stand-ins' record: every promise held\n", r.Checked)
+		return
+	}
+	fmt.Fprintf(w, "%d replies checked, %d promises broken: %v\n", r.Checked, len(r.Broken), byPromise(r.Broken))
+}
+
+func (r *Report) hasTier() bool {
+	return slices.ContainsFunc(r.Sides, func(s SideReport) bool { return s.Name == sideTier })
+}
+
+func byPromise(broken []testbed.Broken) map[string]int {
+	counts := make(map[string]int)
+	for _, b := range broken {
+		counts[b.Promise]++
+	}
+	return counts
+}
--- /dev/null
+++ b/load/soak_test.go
@@ -0,0 +1,157 @@
+package load_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/load"
+	"github.com/goldcrestspan/goldcrestspan/standin"
+	"github.com/goldcrestspan/goldcrestspan/testbed"
+)
+
+var (
+	soakFor  = flag.Duration("soak", 30*time.Second, "how long the soak of faults sends requests")
+	soakSeed = flag.Uint64("soak-seed", 0, "seed of the soak of faults; 0 runs the fixed seeds")
+)
+
+// soakSeeds stay as they are: one that found a fault goes on looking for it.
+var soakSeeds = []uint64{1}
+
+const (
+	soakIndex = "slots"
+	// soakShare leaves room, so that refusals come from faults.
+	soakShare = 0.15
+	soakHosts = 4
+	// patient is a deadline that no healthy run comes near.
+	patient = 4 * time.Second
+)
+
+// soakShape is four services of two servers, with every kind of route.
+func soakShape() load.Shape {
+	stream := func(route, class string, share float64, prefer bundle.Prefer, least float64, booking bool) load.Stream {
+		return load.Stream{
+			Index: soakIndex, Route: route, Class: class, Role: "desk",
+			Share: share, Prefer: prefer, LeastCoverage: least, Booking: booking,
+		}
+	}
+	return load.Shape{
+		Name: "soak",
+		Groups: []testbed.Group{{
+			Index: soakIndex, Services: 4, Servers: 2, Slots: 2, Connections: 25,
+			Time: standin.ServiceTime{Base: time.Millisecond, Mean: 2 * time.Millisecond, Straggler: 40 * time.Millisecond, StragglerShare: 0.02},
+		}},
+		Classes: []bundle.Class{
+			{Name: "interactive", ReservedShare: 0.5, DefaultDeadline: bundle.Duration(patient / 4)},
+			{Name: "standard", ReservedShare: 0.5, DefaultDeadline: bundle.Duration(patient)},
+		},
+		CallersOfRole: map[string]int{"desk": 3},
+		Streams: []load.Stream{
+			stream("picks", "interactive", 0.4, bundle.PreferLatency, 0.5, false),
+			stream("lists", "standard", 0.3, bundle.PreferCoverage, 1, false),
+			stream("book", "standard", 0.3, bundle.PreferCoverage, 1, true),
+		},
+	}
+}
+
+// pairs of faults that meet: the second comes while the first lasts.
+func faultPairs() [][2]load.Kind {
+	return [][2]load.Kind{
+		{load.KindStoreDown, load.KindHostKill},
+		{load.KindStoreSlow, load.KindRace},
+		{load.KindHostsEmpty, load.KindHostStop},
+		{load.KindHostsLag, load.KindLost},
+		{load.KindRepartition, load.KindSilent},
+		{load.KindSlow, load.KindCrash},
+		{load.KindDrain, load.KindBadReplies},
+		{load.KindStoreSilent, load.KindLostWrite},
+		{load.KindPoison, load.KindBundle},
+		{load.KindRepartition, load.KindHostKill},
+		{load.KindPoison, load.KindSilent},
+	}
+}
+
+// soakEvents draws the order of the pairs and their servers. A host is started
+// before each one that ends; the one server that leaves is never named again,
+// and no service loses both its servers.
+func soakEvents(seed uint64, length time.Duration) []load.Event {
+	random := rand.New(rand.NewPCG(seed, 2))
+	pairs := faultPairs()
+	random.Shuffle(len(pairs), func(i, j int) { pairs[i], pairs[j] = pairs[j], pairs[i] })
+	step := length / time.Duration(len(pairs)+2)
+	leaver := testbed.ServiceName(soakIndex, 0) + "-0"
+	events := []load.Event{{At: bundle.Duration(step / 2), Kind: load.KindLeave, Server: leaver}}
+	for i, pair := range pairs {
+		at := step * time.Duration(i+1)
+		first := 1 + random.IntN(3)
+		events = append(events, soakEvent(pair[0], at, step, first, random))
+		events = append(events, soakEvent(pair[1], at+step/4, step/2, 1+first%3, random))
+		if pair[1] == load.KindHostKill || pair[1] == load.KindHostStop {
+			events = append(events, load.Event{At: bundle.Duration(at), Kind: load.KindHostStart})
+		}
+	}
+	return events
+}
+
+func soakEvent(kind load.Kind, at, length time.Duration, service int, random *rand.Rand) load.Event {
+	e := load.Event{
+		At: bundle.Duration(at), Kind: kind, For: bundle.Duration(length),
+		Factor: 10, Delay: bundle.Duration(2 * time.Second), Count: 6,
+	}
+	switch kind {
+	case load.KindSlow, load.KindLost, load.KindCrash, load.KindDrain, load.KindSilent, load.KindBadReplies:
+		e.Server = testbed.ServiceName(soakIndex, service) + []string{"-0", "-1"}[random.IntN(2)]
+	case load.KindRepartition:
+		e.Index = soakIndex
+	}
+	return e
+}
+
+// Any of the faults of the brief may come at any moment, together or twice: an
+// advertiser pays for a screen that shows half a pick, or an assessor is booked
+// twice. Each fault comes at least once here, in pairs, over real sockets;
+// every answer is compared with what the backend servers ran.
+func TestSoakOfFaults(t *testing.T) {
+	seeds := soakSeeds
+	if *soakSeed != 0 {
+		seeds = []uint64{*soakSeed}
+	}
+	for _, seed := range seeds {
+		soak(t, seed, *soakFor)
+	}
+}
+
+func soak(t *testing.T, seed uint64, length time.Duration) {
+	is := is.New(t)
+	events := soakEvents(seed, length)
+	report, err := load.Run(t.Context(), load.Options{
+		Shape: soakShape(), Hosts: soakHosts, Share: soakShare, Scale: 1,
+		For: length, Seed: seed, Events: events, Tier: true,
+	})
+	if report == nil {
+		t.Fatal(err)
+	}
+	for _, b := range report.Broken {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	is.Equal(len(report.Events), len(events)) // every fault took place
+	for _, kind := range load.Kinds() {
+		is.True(slices.ContainsFunc(events, func(e load.Event) bool { return e.Kind == kind }))
+	}
+	for _, row := range report.Sides[0].Rows {
+		t.Logf("seed %d: %s %d requests, %.1f%% answered, %v", seed, row.Class, row.Count, 100*row.Answered, row.Codes)
+		is.True(row.Answered > 0.5) // faults cost answers, but not most of them
+	}
+	is.True(report.PoisonRuns > 0)
+	is.True(report.PoisonRuns <= maxPoisonRuns) // it is refused before it takes more servers
+}
+
+// maxPoisonRuns bounds the servers that one poison request may crash: those of
+// one service, both poisons, and a hedge or repeat for each before the news of
+// the first crash is there.
+const maxPoisonRuns = 2 * 12
--- a/testbed/check.go
+++ b/testbed/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/front"
 	"github.com/goldcrestspan/goldcrestspan/ident"
@@ -31,6 +32,8 @@
 	PromiseWhole    = "the whole answer, to its caller"
 	PromiseNotRun   = "not run means nowhere"
 	PromiseOnce     = "a booking at most once"
+	PromiseLeaving  = "no new work for a leaving server"
+	PromiseRising   = "an accepted configuration never reverts"
 )
 
 // Checker compares what callers were told with what the stand-ins ran. It is
@@ -45,12 +48,20 @@
 	notRun   []ident.RequestID
 	bookings map[string]bool // digests of booking bodies
 	checked  int
+	left     map[string]time.Time // by server
+	highest  map[string]uint64    // generation, by host
 }
 
 // NewChecker makes a checker over the record. total tells how many shards a
 // snapshot has, from what was published.
 func NewChecker(record *standin.Record, total func(index string, version snapshot.Version) int) *Checker {
-	return &Checker{record: record, total: total, bookings: make(map[string]bool)}
+	return &Checker{
+		record:   record,
+		total:    total,
+		bookings: make(map[string]bool),
+		left:     make(map[string]time.Time),
+		highest:  make(map[string]uint64),
+	}
 }
 
 // Answer checks one reply to a query at once, and notes what only the end can
@@ -139,8 +150,10 @@
 			c.add(PromiseNotRun, id.String(), fmt.Sprintf("ran on %s", runs[0].Server))
 		}
 	}
+	runs := c.record.Runs()
+	c.checkLeaving(runs)
 	times := make(map[string][]standin.Run)
-	for _, run := range c.record.Runs() {
+	for _, run := range runs {
 		if !run.Idempotent {
 			times[run.Body] = append(times[run.Body], run)
 		}
--- a/testbed/testbed.go
+++ b/testbed/testbed.go
@@ -43,7 +43,9 @@
 	Servers     int // per service
 	Slots       int // per server
 	Connections int // per server
-	Time        standin.ServiceTime
+	// QueueLimit is how many calls a server lets wait; above it it refuses.
+	QueueLimit int
+	Time       standin.ServiceTime
 }
 
 // Config shapes a bed.
@@ -159,7 +161,7 @@
 		Region:      region,
 		Zone:        zones[(service+server)%len(zones)],
 		Slots:       group.Slots,
-		QueueLimit:  0,
+		QueueLimit:  group.QueueLimit,
 		Connections: group.Connections,
 		Time:        group.Time,
 		CrashMarker: b.config.CrashMarker,
