--- a/load/inject.go
+++ b/load/inject.go
@@ -22,8 +22,6 @@
 	crashMarker = "load-poison"
 	// loadEvery is the time between two servers that load a new version.
 	loadEvery = 20 * time.Millisecond
-	// submitWithin bounds an operator's submit, outages of the store included.
-	submitWithin = 30 * time.Second
 )
 
 func serverName(index string, service, server int) string {
--- a/load/soak_test.go
+++ b/load/soak_test.go
@@ -147,6 +147,7 @@
 		t.Logf("seed %d: %s %d requests, %.1f%% answered, %v", seed, row.Class, row.Count, 100*row.Answered, row.Codes)
 		is.True(row.Answered > 0.5) // faults cost answers, but not most of them
 	}
+	t.Logf("seed %d: poison requests ran %d times", seed, report.PoisonRuns)
 	is.True(report.PoisonRuns > 0)
 	is.True(report.PoisonRuns <= maxPoisonRuns) // it is refused before it takes more servers
 }
