--- a/parts.go
+++ b/parts.go
@@ -107,7 +107,7 @@
 		func() *peer.Pool { return peer.NewPool(o.PeerTLS) },
 		peer.NewServer,
 		func() (platform.Store, platform.HostList) { return openPlatform(s, o) },
-		func() backend.Runner { return openBackends(s, o) },
+		func(configs *rollout.Agent) backend.Runner { return openBackends(s, o, configs) },
 		func(now clock) *snapshot.Pins { return snapshot.NewPins(now) },
 		newMember,
 		newRollout,
@@ -167,11 +167,31 @@
 	return client, client
 }
 
-func openBackends(s settings.Settings, o Options) backend.Runner {
+func openBackends(s settings.Settings, o Options, configs *rollout.Agent) backend.Runner {
 	if o.Backends != nil {
 		return o.Backends
 	}
-	return backend.NewClient(backend.Options{MaxReplyBytes: int64(s.Limits.BackendReplyBytes)})
+	return backend.NewClient(backend.Options{
+		MaxReplyBytes: int64(s.Limits.BackendReplyBytes),
+		Limit:         func(server backend.Server) int { return connectionShare(configs.Config(), server.Service) },
+	})
+}
+
+// connectionShare is how many connections this host opens to one server of the
+// service: half of the server's limit. With one view of the members only the
+// service's home connects. While views differ there can be two homes, and a
+// server whose limit they both used up would turn away either at random; with a
+// half each, both are served until the views agree.
+func connectionShare(config *bundle.Config, service string) int {
+	const homesAtOnce = 2
+	if config == nil {
+		return 1
+	}
+	spec, ok := config.Service(service)
+	if !ok {
+		return 1
+	}
+	return max(1, spec.ConnectionsPerServer/homesAtOnce)
 }
 
 func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation, later *late) *member.Agent {
