--- a/answers.go
+++ b/answers.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/front"
 	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -148,22 +150,14 @@
 	}, nil
 }
 
-// Hosts implements front.Service.
-func (h *Host) Hosts(_, _ string) (advice any, keep time.Duration) {
-	view := h.parts.Member.View()
-	keep = time.Duration(h.Config().Policy.AdviceFor)
-	type advised struct {
-		Address string  `json:"address"`
-		Weight  float64 `json:"weight"`
-	}
-	var hosts []advised
-	for _, host := range view.Hosts {
-		if host.Serving() {
-			hosts = append(hosts, advised{Address: host.CallerAddress, Weight: 1})
-		}
-	}
-	return struct {
-		Hosts  []advised `json:"hosts"`
-		KeepMS int64     `json:"keep_ms"`
-	}{hosts, keep.Milliseconds()}, keep
+// Hosts implements front.Service. A caller that names no region is taken to be
+// in this host's.
+func (h *Host) Hosts(key, region, zone string) entry.Advice {
+	if region == "" {
+		region = h.parts.Settings.Host.Region
+	}
+	asker := entry.Asker{Key: key, Region: region, Zone: zone}
+	keep := time.Duration(h.Config().Policy.AdviceFor)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return h.parts.Advisor.Advise(h.parts.Member.View(), asker, keep, random)
 }
--- a/client/advice.go
+++ b/client/advice.go
@@ -9,19 +9,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-)
-
-// advised is one entry host that the system advises to use.
-type advised struct {
-	Address string  `json:"address"` // callers' listener, IP and port
-	Weight  float64 `json:"weight"`
-}
 
-// advice is the reply of GET /v1/hosts.
-type advice struct {
-	Hosts  []advised `json:"hosts"`
-	KeepMS int64     `json:"keep_ms"`
-}
+	"github.com/goldcrestspan/goldcrestspan/entry"
+)
 
 // avoidFor is how long a host that refused a connection or named others is
 // passed over, unless no other is left.
@@ -32,7 +22,7 @@
 type hosts struct {
 	mu     sync.Mutex
 	seeds  []string
-	hosts  []advised
+	hosts  []entry.Host
 	until  time.Time
 	avoid  map[string]time.Time
 	asking bool
@@ -53,7 +43,7 @@
 	return true
 }
 
-func (h *hosts) keep(a advice, now time.Time) {
+func (h *hosts) keep(a entry.Advice, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.asking = false
@@ -96,14 +86,14 @@
 	return candidates[len(candidates)-1].Address
 }
 
-func (h *hosts) candidates(now time.Time, tried map[string]bool) []advised {
+func (h *hosts) candidates(now time.Time, tried map[string]bool) []entry.Host {
 	all := h.hosts
 	if len(all) == 0 {
 		for _, seed := range h.seeds {
-			all = append(all, advised{Address: seed, Weight: 1})
+			all = append(all, entry.Host{Address: seed, Weight: 1})
 		}
 	}
-	var fresh, untried []advised
+	var fresh, untried []entry.Host
 	for _, c := range all {
 		if tried[c.Address] || c.Weight <= 0 {
 			continue
@@ -131,7 +121,7 @@
 		return
 	}
 	reply, err := c.send(request)
-	var a advice
+	var a entry.Advice
 	if err != nil || reply.status != http.StatusOK || json.Unmarshal(reply.body, &a) != nil {
 		c.hosts.pass(address, c.options.Now())
 		c.hosts.notAsked()
--- a/front/front.go
+++ b/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
@@ -26,6 +28,8 @@
 	HeaderDigest = "Goldcrestspan-Digest"
 )
 
+const millisecondsPerSecond = 1000
+
 // Query is a checked query.
 type Query struct {
 	Request  ident.RequestID
@@ -57,9 +61,9 @@
 	// Book returns the booking's code and the JSON of its Reply, which is the
 	// recorded one when the booking ran before.
 	Book(ctx context.Context, b Booking) (result.Code, []byte, *result.Error)
-	// Hosts advises a caller on entry hosts; zone is the caller's own
-	// availability zone, or empty.
-	Hosts(caller, zone string) (advice any, keep time.Duration)
+	// Hosts advises a caller on entry hosts. key tells its processes apart;
+	// region and zone are its own, or empty.
+	Hosts(key, region, zone string) entry.Advice
 }
 
 // Counter counts finished requests.
@@ -210,8 +214,10 @@
 }
 
 func (f *Front) hosts(x *exchange) *result.Error {
-	advice, keep := f.service.Hosts(x.caller.Name, x.r.URL.Query().Get("zone"))
-	x.w.Header().Set("Cache-Control", "private, max-age="+strconv.Itoa(int(keep/time.Second)))
+	client, _, _ := net.SplitHostPort(x.r.RemoteAddr) // set by net/http
+	asked := x.r.URL.Query()
+	advice := f.service.Hosts(x.caller.Name+"@"+client, asked.Get("region"), asked.Get("zone"))
+	x.w.Header().Set("Cache-Control", "private, max-age="+strconv.FormatInt(advice.KeepMS/millisecondsPerSecond, 10))
 	f.write(x, http.StatusOK, advice)
 	return nil
 }
--- a/parts.go
+++ b/parts.go
@@ -16,6 +16,7 @@
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/catalog"
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
@@ -68,6 +69,7 @@
 	Desk        *booking.Desk
 	Servers     *servers
 	Admission   *admit.Controller
+	Advisor     *entry.Advisor
 	Crashes     *crashes
 	Late        *late
 }
@@ -123,6 +125,7 @@
 		newServers,
 		newCatalog,
 		newAdmission,
+		entry.NewAdvisor,
 		newCrashes,
 		newCoordinator,
 		newDesk,
