--- a/admit/backlog.go
+++ b/admit/backlog.go
@@ -43,7 +43,7 @@
 	// More would keep no further slot busy; it would fill the homes' queues
 	// until these refuse legs of queries that have already cost slots.
 	longestBacklog = 500 * time.Millisecond
-	backlogLegs    = 10
+	backlogLegs    = 20
 	// overShareBacklog is the part of that backlog from which callers over
 	// their share are refused, so that the others still find room.
 	overShareBacklog = 0.7
@@ -106,11 +106,13 @@
 // on requests that nobody waits for any more, and goodput collapses; callers
 // learn it late. Limits: the requests of the class with no later deadline,
 // over the measured capacity, may take half of the request's time, but no more
-// than half a second or ten legs' service, and seven tenths of that for callers over their share. Later deadlines don't count,
-// since the homes' queues run in that order: requests that can wait don't
-// shut out those that can't.
+// than half a second or twenty legs' service; seven tenths of that for callers
+// over their share. Later deadlines don't count, since the homes' queues run
+// in that order: requests that can wait don't shut out those that can't. The
+// request itself doesn't count either: where exports take seconds, one more in
+// flight at each host is a third of what the servers can do.
 func (c *Controller) judgeBacklog(now time.Time, cl *class, from *caller, deadline time.Time, left time.Duration) *result.Error {
-	ahead := seconds(float64(cl.deadlines.upTo(deadline)+1) / cl.capacity)
+	ahead := seconds(float64(cl.deadlines.upTo(deadline)) / cl.capacity)
 	bound := cl.longestBacklog(left)
 	if ahead > bound {
 		cl.blocked++
