--- a/admit/fair.go
+++ b/admit/fair.go
@@ -128,12 +128,14 @@
 			continue
 		}
 		cs.order = append(cs.order, from)
-		weight += from.weight
-		top = max(top, from.demand(now))
 	}
 	slices.SortFunc(cs.order, func(a, b *caller) int {
 		return cmp.Or(cmp.Compare(a.demand(now), b.demand(now)), cmp.Compare(a.name, b.name))
 	})
+	for _, from := range cs.order { // in order, so that sums are the same each run
+		weight += from.weight
+		top = from.demand(now)
+	}
 	return weight, top
 }
 
--- a/entry/advisor.go
+++ b/entry/advisor.go
@@ -45,7 +45,6 @@
 
 type factor struct {
 	incarnation ident.Incarnation
-	zone        string
 	value       float64
 }
 
@@ -84,9 +83,9 @@
 		seen[host.ID] = true
 		f := a.factors[host.ID]
 		if f == nil || f.incarnation != host.Incarnation {
-			f = &factor{incarnation: host.Incarnation, zone: host.Zone, value: 1}
+			f = &factor{incarnation: host.Incarnation, value: 1}
 			if !first {
-				f.value = a.firstFactor(host.Zone)
+				f.value = a.firstFactor(view, host)
 			}
 			a.factors[host.ID] = f
 		}
@@ -102,10 +101,11 @@
 // firstFactor is where a new or restarted host begins: at half of its zone's
 // mean. With one it would be overrun where its zone's hosts had been relieved;
 // and its first requests find it without warm connections.
-func (a *Advisor) firstFactor(zone string) float64 {
+func (a *Advisor) firstFactor(view *member.View, host member.Host) float64 {
 	sum, n := 0.0, 0
-	for _, f := range a.factors {
-		if f.zone == zone {
+	for _, other := range view.Hosts {
+		f := a.factors[other.ID]
+		if f != nil && other.ID != host.ID && other.Zone == host.Zone {
 			sum += f.value
 			n++
 		}
--- a/quarantine/sim_seeds_test.go
+++ b/quarantine/sim_seeds_test.go
@@ -52,6 +52,16 @@
 	}
 }
 
+func TestRunsAreRepeatable(t *testing.T) {
+	is := is.New(t)
+	c := simCases()["breaks"]
+	c.seed = 5
+	a, b := runSim(c), runSim(c)
+	is.Equal(a.now, b.now)
+	is.Equal(a.refused, b.refused)
+	is.Equal(a.next, b.next)
+}
+
 // Servers crash by themselves, connections break and the power fails, over
 // and over, and no request is to blame. None may be refused for it.
 func TestNoInnocentIsCondemned(t *testing.T) {
--- a/quarantine/track.go
+++ b/quarantine/track.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -231,7 +232,9 @@
 	for _, r := range slices.Concat(s.broken, s.past) {
 		death.blame(r)
 	}
-	slices.SortFunc(death.Blamed, func(a, b Blame) int { return a.Started.Compare(b.Started) })
+	slices.SortFunc(death.Blamed, func(a, b Blame) int {
+		return cmp.Or(a.Started.Compare(b.Started), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
 	return Event{Died: death}
 }
 
