--- a/rollout/submit.go
+++ b/rollout/submit.go
@@ -88,6 +88,10 @@
 	ancestor bundle.Ref   // where the walk down from the head has come to
 	written  int
 	prepared bool
+	// conflicted is set by a write that conflicted, and refusedVersion is the
+	// version it expected, which is 0 for the first head.
+	conflicted     bool
+	refusedVersion uint64
 	// open is set by a write whose outcome the store did not tell.
 	open bool
 }
@@ -157,8 +161,11 @@
 		}
 		s.head, s.ancestor = head, head.manifest.Parent
 		next := s.logic.onHead(head.ref, head.manifest.Parent)
-		if next == stepReadHead {
-			return next, errStale
+		// A write at this version has conflicted, so the store has moved on and
+		// the read lags. Without a pause the two would follow each other as fast
+		// as the store answers.
+		if next == stepReadHead || (next == stepWriteHead && s.conflicted && head.version == s.refusedVersion) {
+			return stepReadHead, errStale
 		}
 		return next, nil
 	case stepWriteHead:
@@ -187,6 +194,7 @@
 	}
 	next := s.logic.onWrite(err)
 	if errors.Is(err, platform.ErrConflict) {
+		s.conflicted, s.refusedVersion = true, s.head.version
 		return next, nil // someone moved it: no need to wait before reading
 	}
 	return next, err
--- a/rollout/submit_test.go
+++ b/rollout/submit_test.go
@@ -186,6 +186,25 @@
 	})
 }
 
+// A colleague's change was accepted a moment ago and reads of the store still
+// show the head before it. The write conflicts, the read back shows the old head
+// again: the tool must wait between them instead of calling the store as fast as
+// it answers, and then show the conflict.
+func TestConflictBehindStaleReads(t *testing.T) {
+	operators(t, func(is *is.I, f *fleet) {
+		time.Sleep(time.Minute)
+		mine, theirs := f.change(6, "mine"), f.change(4, "theirs")
+		_, err := f.submit(theirs)
+		is.NoErr(err)
+		f.store.SetFaults(standin.PlatformFaults{ReadLag: 10 * time.Second})
+		before := f.store.Calls().Total()
+		_, err = f.submit(mine)
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.True(f.store.Calls().Total()-before < 60)
+	})
+}
+
 // The store is down from the start: nothing was written, and the tool says
 // so, and not "not known".
 func TestSubmitWithStoreDown(t *testing.T) {
