--- a/home/settle.go
+++ b/home/settle.go
@@ -39,7 +39,9 @@
 	if !paced(end) && !h.retryBudget.Spend() {
 		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
 	}
-	l.avoid = a.server
+	if !countsAsRefusal(end) {
+		l.avoid = a.server // after a refusal the server's pause is enough
+	}
 	l.place = inWaiting
 	h.bytes += l.Bytes
 	h.classes[l.Class].waiting.insert(l)
@@ -88,7 +90,7 @@
 // Load: a service of which every server refuses. Harm prevented: a retry
 // storm, and a booking that runs twice. See retry.Budget for the limit.
 func (h *Home) mayRetry(l *leg, end End, now time.Time) bool {
-	if h.cfg.RetryBudget <= 0 || !h.canMeet(l, now) || l.started >= attemptsFor(end) {
+	if end.NoRetry || h.cfg.RetryBudget <= 0 || !h.canMeet(l, now) || l.started >= attemptsFor(end) {
 		return false
 	}
 	if !l.worst.NotRun() && !l.Idempotent {
--- a/parts.go
+++ b/parts.go
@@ -20,11 +20,14 @@
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leaving"
+	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
+	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 	"github.com/goldcrestspan/goldcrestspan/settings"
@@ -65,6 +68,7 @@
 	Desk        *booking.Desk
 	Servers     *servers
 	Admission   *admit.Controller
+	Crashes     *crashes
 	Late        *late
 }
 
@@ -76,6 +80,7 @@
 	applied    func(*bundle.Config)
 	watcher    homeserver.Watcher
 	backend    func(member.BackendNews)
+	suspect    func(member.SuspectRequestNews)
 }
 
 func (l *late) bind(h *Host) {
@@ -87,7 +92,8 @@
 	}
 	l.runBooking = h.runBooking
 	l.applied = h.configure
-	l.watcher = h.parts.Servers
+	l.watcher = h.parts.Crashes
+	l.suspect = h.parts.Crashes.absorb
 	l.backend = h.parts.Servers.absorb
 }
 
@@ -107,7 +113,7 @@
 		func() *peer.Pool { return peer.NewPool(o.PeerTLS) },
 		peer.NewServer,
 		func() (platform.Store, platform.HostList) { return openPlatform(s, o) },
-		func() backend.Runner { return openBackends(s, o) },
+		func(configs *rollout.Agent) backend.Runner { return openBackends(s, o, configs) },
 		func(now clock) *snapshot.Pins { return snapshot.NewPins(now) },
 		newMember,
 		newRollout,
@@ -117,6 +123,7 @@
 		newServers,
 		newCatalog,
 		newAdmission,
+		newCrashes,
 		newCoordinator,
 		newDesk,
 		func() *late { return &late{} },
@@ -167,11 +174,31 @@
 	return client, client
 }
 
-func openBackends(s settings.Settings, o Options) backend.Runner {
+func openBackends(s settings.Settings, o Options, configs *rollout.Agent) backend.Runner {
 	if o.Backends != nil {
 		return o.Backends
 	}
-	return backend.NewClient(backend.Options{MaxReplyBytes: int64(s.Limits.BackendReplyBytes)})
+	return backend.NewClient(backend.Options{
+		MaxReplyBytes: int64(s.Limits.BackendReplyBytes),
+		Limit:         func(server backend.Server) int { return connectionShare(configs.Config(), server.Service) },
+	})
+}
+
+// connectionShare is how many connections this host opens to one server of the
+// service: half of the server's limit. With one view of the members only the
+// service's home connects. While views differ there can be two homes, and a
+// server whose limit they both used up would turn away either at random; with a
+// half each, both are served until the views agree.
+func connectionShare(config *bundle.Config, service string) int {
+	const homesAtOnce = 2
+	if config == nil {
+		return 1
+	}
+	spec, ok := config.Service(service)
+	if !ok {
+		return 1
+	}
+	return max(1, spec.ConnectionsPerServer/homesAtOnce)
 }
 
 func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation, later *late) *member.Agent {
@@ -194,6 +221,8 @@
 		Registerer:    registry,
 		OnConfigNews:  func(news member.ConfigNews) { later.configNews(news) },
 		OnBackendNews: func(news member.BackendNews) { later.backend(news) },
+
+		OnSuspectRequest: func(news member.SuspectRequestNews) { later.suspect(news) },
 	})
 }
 
@@ -255,8 +284,24 @@
 	w.later.watcher.Started(id, server, fingerprint)
 }
 
-func (w lateWatcher) Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) {
-	w.later.watcher.Ended(id, server, fingerprint, end)
+func (w lateWatcher) Ended(id ident.AttemptID, server backend.Server, fingerprint uint64, end backend.Attempt) bool {
+	return w.later.watcher.Ended(id, server, fingerprint, end)
+}
+
+func (w lateWatcher) Refuse(request leg.Request) *result.Error {
+	return w.later.watcher.Refuse(request)
+}
+
+func newCrashes(s *servers, members *member.Agent, log *zap.Logger, now clock) (*crashes, error) {
+	none, err := bundle.Compile(0, bundle.Documents{})
+	return &crashes{
+		servers: s,
+		book:    quarantine.NewBook(none),
+		tracker: quarantine.NewTracker(),
+		members: members,
+		log:     log,
+		now:     now,
+	}, err
 }
 
 func newExchange(life lifetime, pool *peer.Pool, s settings.Settings, incarnation ident.Incarnation, now clock) *exchange.Client {
@@ -313,6 +358,7 @@
 			Find: func(host ident.HostID, _ ident.Incarnation) (string, bool) {
 				return findIssuer(members.View(), host)
 			},
+			Serving: func() []string { return servingPeers(members.View()) },
 		},
 	})
 }
@@ -327,3 +373,14 @@
 	}
 	return found.PeerAddress, true
 }
+
+// servingPeers returns the peers' listeners of the other hosts that serve.
+func servingPeers(view *member.View) []string {
+	var addresses []string
+	for _, host := range view.Hosts {
+		if host.ID != view.Self && host.Serving() {
+			addresses = append(addresses, host.PeerAddress)
+		}
+	}
+	return addresses
+}
