--- a/answers.go
+++ b/answers.go
@@ -24,13 +24,14 @@
 	if refused != nil {
 		return nil, refused
 	}
-	pass, refused := h.parts.Admission.Admit(h.parts.Now(), h.ask(q, work))
+	started := h.parts.Now()
+	pass, refused := h.parts.Admission.Admit(started, h.ask(q, work))
 	if refused != nil {
 		return nil, refused
 	}
 	answer := h.run(ctx, q, work)
 	h.parts.Admission.Done(h.parts.Now(), pass, observed(answer))
-	h.parts.Crashes.answered(fingerprint(q), answer)
+	h.parts.Crashes.answered(started, fingerprint(q), answer)
 	return answer, nil
 }
 
--- a/crashes.go
+++ b/crashes.go
@@ -115,7 +115,7 @@
 
 // answered tells the book how a query went, at its root: a query that lost
 // every leg with its server is evidence, confirmed by others' answers.
-func (c *crashes) answered(f quarantine.Fingerprint, answer *scatter.Answer) {
+func (c *crashes) answered(started time.Time, f quarantine.Fingerprint, answer *scatter.Answer) {
 	now := c.now()
 	if lost := lostServices(answer); lost != nil {
 		c.book.LostQuery(now, f, lost)
@@ -127,7 +127,7 @@
 	}
 	for _, l := range answer.Legs {
 		if !missing[l.Service] {
-			c.condemned(c.book.LegAnswered(now, f, l.Service))
+			c.condemned(c.book.LegAnswered(now, started, f, l.Service))
 		}
 	}
 }
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -32,12 +32,14 @@
 // of them. Harm prevented: waiting for a second event would cost the other
 // server of every service, and with them the product. Reason for the limits:
 // an innocent query beside it loses the legs that share a server with it, not
-// all of them; a loss of power takes the other servers too, so within a
-// second half of these services must answer other requests.
+// all of them; connections that go silent lose legs too, so this host must
+// have seen one of the deaths itself, as home of one of the services; a loss
+// of power takes the other servers too, so within a second half of these
+// services must answer requests that started after it.
 func (b *Book) LostQuery(now time.Time, f Fingerprint, services []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(services) < leastLost || b.verdicts.Contains(f) {
+	if len(services) < leastLost || b.suspects[f] == 0 || b.verdicts.Contains(f) {
 		return
 	}
 	b.lost = slices.DeleteFunc(b.lost, func(q *lostQuery) bool { return now.Sub(q.at) > confirmFor })
@@ -47,13 +49,14 @@
 	b.lost = append(b.lost, &lostQuery{fingerprint: f, at: now, services: slices.Clone(services), lost: len(services)})
 }
 
-// LegAnswered is told, at the entry host, of legs that started after the loss
-// and were answered. It returns the fingerprint that is condemned by it.
-func (b *Book) LegAnswered(now time.Time, f Fingerprint, service string) (Fingerprint, bool) {
+// LegAnswered is told, at the entry host of a query, of each answered leg, and
+// when the query started: an answer from before the loss says nothing. It
+// returns the fingerprint that is condemned by it.
+func (b *Book) LegAnswered(now, started time.Time, f Fingerprint, service string) (Fingerprint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, q := range b.lost {
-		if q.fingerprint == f || now.Sub(q.at) > confirmFor {
+		if q.fingerprint == f || started.Before(q.at) || now.Sub(q.at) > confirmFor {
 			continue
 		}
 		q.services = slices.DeleteFunc(q.services, func(s string) bool { return s == service })
