--- a/cli/root.go
+++ b/cli/root.go
@@ -14,10 +14,16 @@
 	}
 	root.AddCommand(newServeCommand())
 	root.AddCommand(newDemoCommand())
+	root.AddCommand(newQueryCommand())
+	root.AddCommand(newBookCommand())
+	root.AddCommand(newHostsCommand())
+	root.AddCommand(newStatusCommand())
+	root.AddCommand(newVersionCommand())
 	root.AddCommand(newResultCodesCommand())
 	root.AddCommand(newStandinCommand())
 	root.AddCommand(newSettingsCommand())
 	root.AddCommand(newBundleCommand())
 	root.AddCommand(newBenchCommand())
+	root.AddCommand(newLoadCommand())
 	return root
 }
