--- a/host.go
+++ b/host.go
@@ -106,6 +106,7 @@
 		func() error { return h.parts.Rollout.Register(mux) },
 		func() error { return inbound.Register(mux) },
 		func() error { return h.parts.Desk.Register(mux) },
+		func() error { return h.parts.Catalog.Register(mux) },
 	} {
 		if err := register(); err != nil {
 			return errors.Wrap(err, "register peers' services")
--- a/parts.go
+++ b/parts.go
@@ -330,8 +330,32 @@
 	}
 }
 
-func newCatalog(store platform.Store, list platform.HostList, sink *servers, log *zap.Logger) *catalog.Agent {
-	return catalog.NewAgent(store, list, sink, log)
+func newCatalog(s settings.Settings, store platform.Store, list platform.HostList, sink *servers, pool *peer.Pool, members *member.Agent, incarnation ident.Incarnation, log *zap.Logger) *catalog.Agent {
+	return catalog.NewAgent(catalog.Config{
+		Store:     store,
+		List:      list,
+		Sink:      sink,
+		Peers:     pool,
+		IsWatcher: func() bool { return isWatcher(members.View(), s.Host.Zone) },
+		Watchers:  func() []string { return watchersOf(members.View(), s.Host.Zone, s.Peers) },
+		Epoch:     uint64(incarnation),
+		Log:       log,
+	})
+}
+
+// watchersOf are the peers' listeners of the zone's watchers. A host that has
+// not joined asks the addresses of its settings.
+func watchersOf(view *member.View, zone string, seeds []string) []string {
+	var addresses []string
+	for _, id := range view.Watchers(zone, watchersPerZone) {
+		if host, ok := view.Find(id); ok && id != view.Self {
+			addresses = append(addresses, host.PeerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return seeds
+	}
+	return addresses
 }
 
 func newAdmission(s settings.Settings) *admit.Controller {
--- a/testbed/hosts_test.go
+++ b/testbed/hosts_test.go
@@ -202,6 +202,20 @@
 	traffic.end(t)
 }
 
+// A host is replaced while the platform is down. It must take configuration,
+// snapshots and backend servers from its peers, and serve.
+func TestHostStartsWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	bed := small(t, nil)
+	bed.Platform.SetFaults(standin.PlatformFaults{Down: true, HostsDown: true})
+	fresh, err := bed.StartHost()
+	is.NoErr(err)
+	await(t, "the new host", fresh.Serving)
+	answer, err := ask(t, newClient(t, fresh.CallerAddress()), "whole", `{}`)
+	is.NoErr(err)
+	is.True(answer.Coverage.Complete)
+}
+
 func generations(bed *testbed.Bed) (lowest uint64) {
 	for _, host := range bed.Hosts() {
 		if g := host.Status().Generation; lowest == 0 || g < lowest {
