--- a/answers.go
+++ b/answers.go
@@ -4,31 +4,45 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
 // Query implements front.Service.
 func (h *Host) Query(ctx context.Context, q front.Query) (*scatter.Answer, *result.Error) {
+	if refused := h.parts.Crashes.book.Judge(h.parts.Now(), fingerprint(q)); refused != nil {
+		return nil, refused
+	}
 	work, refused := h.plan(q)
 	if refused != nil {
 		return nil, refused
 	}
-	pass, refused := h.parts.Admission.Admit(h.parts.Now(), h.ask(q, work))
+	started := h.parts.Now()
+	pass, refused := h.parts.Admission.Admit(started, h.ask(q, work))
 	if refused != nil {
 		return nil, refused
 	}
 	answer := h.run(ctx, q, work)
 	h.parts.Admission.Done(h.parts.Now(), pass, observed(answer))
+	h.parts.Crashes.answered(started, fingerprint(q), answer)
 	return answer, nil
 }
 
+// fingerprint tells requests apart for the quarantine: the same route, caller
+// and body crash the same servers.
+func fingerprint(q front.Query) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(q.Route.Name, q.Caller.Name, q.Body)
+}
+
 // ask describes a query to the admission.
 func (h *Host) ask(q front.Query, work scatter.Work) admit.Ask {
 	_, class, _ := h.Config().Class(q.Class)
@@ -93,6 +107,9 @@
 	if refused != nil {
 		return booking.Result{Code: refused.Code, Detail: refused.Detail}
 	}
+	if refused := h.parts.Crashes.book.Judge(h.parts.Now(), fingerprint(q)); refused != nil {
+		return booking.Result{Code: refused.Code, Detail: refused.Detail}
+	}
 	work, refused := h.plan(q)
 	if refused != nil {
 		return booking.Result{Code: refused.Code, Detail: refused.Detail}
@@ -134,22 +151,14 @@
 	}, nil
 }
 
-// Hosts implements front.Service.
-func (h *Host) Hosts(_, _ string) (advice any, keep time.Duration) {
-	view := h.parts.Member.View()
-	keep = time.Duration(h.Config().Policy.AdviceFor)
-	type advised struct {
-		Address string  `json:"address"`
-		Weight  float64 `json:"weight"`
-	}
-	var hosts []advised
-	for _, host := range view.Hosts {
-		if host.Serving() {
-			hosts = append(hosts, advised{Address: host.CallerAddress, Weight: 1})
-		}
-	}
-	return struct {
-		Hosts  []advised `json:"hosts"`
-		KeepMS int64     `json:"keep_ms"`
-	}{hosts, keep.Milliseconds()}, keep
+// Hosts implements front.Service. A caller that names no region is taken to be
+// in this host's.
+func (h *Host) Hosts(key, region, zone string) entry.Advice {
+	if region == "" {
+		region = h.parts.Settings.Host.Region
+	}
+	asker := entry.Asker{Key: key, Region: region, Zone: zone}
+	keep := time.Duration(h.Config().Policy.AdviceFor)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return h.parts.Advisor.Advise(h.parts.Member.View(), asker, keep, random)
 }
