--- a/load/plot.go
+++ b/load/plot.go
@@ -55,9 +55,9 @@
 	return r.eachRow(func(n int, side SideReport, c RowReport) error {
 		var points plotter.XYs
 		for _, percentile := range percentiles {
-			points = append(points, plotter.XY{X: percentile, Y: milliseconds(side.rows[c.Class].times, percentile)})
+			points = append(points, plotter.XY{X: percentile, Y: milliseconds(side.rows[c.Name].times, percentile)})
 		}
-		return addLine(p, side.Name+" "+c.Class, n, side.Name, points)
+		return addLine(p, side.Name+" "+c.Name, n, side.Name, points)
 	})
 }
 
@@ -66,8 +66,8 @@
 	p.X.Label.Text = "s"
 	p.Y.Label.Text = "ms"
 	err := r.eachRow(func(n int, side SideReport, c RowReport) error {
-		points := side.overTime(func(s *second) (float64, bool) { return p99Of(s.times[c.Class]) })
-		return addLine(p, side.Name+" "+c.Class, n, side.Name, points)
+		points := side.overTime(func(s *second) (float64, bool) { return p99Of(s.times[c.Name]) })
+		return addLine(p, side.Name+" "+c.Name, n, side.Name, points)
 	})
 	if err != nil {
 		return err
--- a/load/print.go
+++ b/load/print.go
@@ -28,7 +28,7 @@
 		side.writeText(w)
 	}
 	for _, ratio := range r.Ratios {
-		fmt.Fprintf(w, "tier / direct  %-12s p50 %.2f  p99 %.2f  p99.9 %.2f\n", ratio.Class, ratio.P50, ratio.P99, ratio.P999)
+		fmt.Fprintf(w, "tier / direct  %-12s p50 %.2f  p99 %.2f  p99.9 %.2f\n", ratio.Name, ratio.P50, ratio.P99, ratio.P999)
 	}
 	fmt.Fprintf(w, "processor: %.1f cores, %.0f us for each backend run (callers and stand-ins included); peak memory %d MB; sender late by p99 %.1f ms\n",
 		r.CPUCores, r.CPUPerLeg, r.PeakMemory>>20, r.SenderLateP99)
@@ -36,13 +36,17 @@
 }
 
 func (s SideReport) writeText(w io.Writer) {
-	fmt.Fprintf(w, "\n%-8s %-12s %7s %9s %9s %9s %9s %9s %9s  results\n", s.Name, "class", "count", "p50 ms", "p99 ms", "p99.9 ms", "answered", "complete", "coverage")
-	for _, c := range s.Rows {
-		fmt.Fprintf(w, "%-8s %-12s %7d %9.1f %9.1f %9.1f %8.2f%% %8.2f%% %8.2f%%  %s\n", "", c.Class, c.Count, c.P50, c.P99, c.P999,
+	fmt.Fprintf(w, "\n%-8s %-12s %7s %9s %9s %9s %9s %9s %9s  results\n", s.Name, "class, route", "count", "p50 ms", "p99 ms", "p99.9 ms", "answered", "complete", "coverage")
+	for _, c := range append(s.Rows, s.Routes...) {
+		fmt.Fprintf(w, "%-8s %-12s %7d %9.1f %9.1f %9.1f %8.2f%% %8.2f%% %8.2f%%  %s\n", "", c.Name, c.Count, c.P50, c.P99, c.P999,
 			100*c.Answered, 100*c.Complete, 100*c.Coverage, codesText(c.Codes))
 	}
-	fmt.Fprintf(w, "%-8s extra backend load %.2f%% (%d runs for %d legs), %d answers after their deadline, %d not sent\n\n", "",
-		100*s.ExtraLoad, s.Runs, s.Legs, s.Late, s.Dropped)
+	for _, slow := range s.Slowest {
+		fmt.Fprintf(w, "%-8s slow: %s %s at %.1f s took %.0f ms, %s; %d runs, the last from %.0f to %.0f ms\n", "",
+			slow.Request, slow.Route, slow.At, slow.Took, slow.Code, slow.Runs, slow.LastStart, slow.LastEnd)
+	}
+	fmt.Fprintf(w, "%-8s extra backend load %.2f%% (%d runs for %d legs), %d calls refused by servers, %d answers after their deadline, %d not sent\n\n", "",
+		100*s.ExtraLoad, s.Runs, s.Legs, s.Refused, s.Late, s.Dropped)
 }
 
 func codesText(codes map[string]int) string {
--- a/load/report.go
+++ b/load/report.go
@@ -47,6 +47,8 @@
 type SideReport struct {
 	Name string      `json:"name"`
 	Rows []RowReport `json:"classes"`
+	// Routes are the same requests by route.
+	Routes []RowReport `json:"routes"`
 	// Late counts answers after the caller's deadline.
 	Late    int      `json:"late_answers"`
 	LateIDs []string `json:"late_request_ids,omitempty"`
@@ -54,16 +56,19 @@
 	// Runs of queries at backend servers, for Legs that had to run.
 	Runs int `json:"runs"`
 	Legs int `json:"legs"`
+	// Refused calls ran at no server: each cost a way there and back.
+	Refused uint64 `json:"refused_calls"`
 	// ExtraLoad is Runs above Legs, as a share.
 	ExtraLoad float64 `json:"extra_load"`
+	Slowest   []Slow  `json:"slowest,omitempty"`
 
 	seconds []*second
 	rows    map[string]*row
 }
 
-// RowReport is one class.
+// RowReport is one class or route.
 type RowReport struct {
-	Class string  `json:"class"`
+	Name  string  `json:"name"`
 	Count int64   `json:"count"`
 	P50   float64 `json:"p50_ms"`
 	P99   float64 `json:"p99_ms"`
@@ -76,12 +81,12 @@
 	Codes    map[string]int `json:"codes"`
 }
 
-// Ratio compares one class on the two sides.
+// Ratio compares one class or route on the two sides.
 type Ratio struct {
-	Class string  `json:"class"`
-	P50   float64 `json:"p50"`
-	P99   float64 `json:"p99"`
-	P999  float64 `json:"p999"`
+	Name string  `json:"name"`
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
 }
 
 func (r *run) report(used time.Duration) *Report {
@@ -102,7 +107,8 @@
 	}
 	report.CPUPerLeg = float64(used.Microseconds()) / float64(max(runs, 1))
 	if len(report.Sides) == 2 {
-		report.Ratios = ratios(report.Sides[0], report.Sides[1])
+		tier, direct := report.Sides[0], report.Sides[1]
+		report.Ratios = append(ratios(tier.Rows, direct.Rows), ratios(tier.Routes, direct.Routes)...)
 	}
 	if r.checker != nil {
 		report.Broken, report.Checked = r.checker.Finish()
@@ -122,22 +128,31 @@
 func (l *lane) report() SideReport {
 	t := l.tally
 	runs := t.addRuns(l.bed.Record.Runs())
+	t.explainSlow(l.bed.Record)
 	side := SideReport{
-		Name: l.name, Late: t.late, LateIDs: t.lateIDs, Dropped: l.dropped.Load(),
-		Runs: runs, Legs: t.legs,
+		Slowest: t.slowest,
+		Name:    l.name, Late: t.late, LateIDs: t.lateIDs, Dropped: l.dropped.Load(),
+		Runs: runs, Legs: t.legs, Refused: l.bed.Record.Refused(),
 		ExtraLoad: float64(runs)/float64(max(t.legs, 1)) - 1,
 		seconds:   t.seconds, rows: t.rows,
 	}
-	for _, class := range slices.Sorted(maps.Keys(t.rows)) {
-		side.Rows = append(side.Rows, t.rows[class].report(class))
-	}
+	side.Rows = rowReports(t.rows)
+	side.Routes = rowReports(t.routes)
 	return side
 }
 
-func (c *row) report(class string) RowReport {
+func rowReports(rows map[string]*row) []RowReport {
+	var reports []RowReport
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		reports = append(reports, rows[name].report(name))
+	}
+	return reports
+}
+
+func (c *row) report(name string) RowReport {
 	count := c.times.TotalCount()
 	return RowReport{
-		Class: class, Count: count,
+		Name: name, Count: count,
 		P50: milliseconds(c.times, 50), P99: milliseconds(c.times, 99), P999: milliseconds(c.times, 99.9),
 		Answered: float64(c.answers) / float64(count),
 		Complete: float64(c.complete) / float64(count),
@@ -150,12 +165,12 @@
 	return float64(h.ValueAtPercentile(percentile)) / 1000
 }
 
-func ratios(tier, direct SideReport) []Ratio {
+func ratios(tier, direct []RowReport) []Ratio {
 	var all []Ratio
-	for _, a := range tier.Rows {
-		for _, b := range direct.Rows {
-			if a.Class == b.Class && b.P50 > 0 {
-				all = append(all, Ratio{Class: a.Class, P50: a.P50 / b.P50, P99: a.P99 / b.P99, P999: a.P999 / b.P999})
+	for _, a := range tier {
+		for _, b := range direct {
+			if a.Name == b.Name && b.P50 > 0 {
+				all = append(all, Ratio{Name: a.Name, P50: a.P50 / b.P50, P99: a.P99 / b.P99, P999: a.P999 / b.P999})
 			}
 		}
 	}
--- a/load/tally.go
+++ b/load/tally.go
@@ -1,11 +1,14 @@
 package load
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/standin"
 )
 
@@ -26,19 +29,69 @@
 	warmup time.Duration
 
 	mu      sync.Mutex
-	rows    map[string]*row
+	rows    map[string]*row // by class
+	routes  map[string]*row
 	seconds []*second
 	// late counts answers that came after the caller's deadline.
 	late    int
 	legs    int
 	lateIDs []string
+	slowest []Slow // longest first
 }
 
-// row is one class; times are in microseconds.
+// Slow is one of the requests that took longest.
+type Slow struct {
+	Request string  `json:"request"`
+	Route   string  `json:"route"`
+	Code    string  `json:"code"`
+	At      float64 `json:"at_s"` // of its arrival
+	Took    float64 `json:"took_ms"`
+	// LastStart and LastEnd are those of its last run at a backend server,
+	// after its arrival.
+	LastStart float64 `json:"last_start_ms"`
+	LastEnd   float64 `json:"last_end_ms"`
+	Runs      int     `json:"runs"`
+
+	intended time.Time
+}
+
+// slowestKept is how many slow requests a report names.
+const slowestKept = 10
+
+// noteSlow keeps the requests that took longest.
+func (t *tally) noteSlow(r request, o outcome) {
+	took := float64(o.took.Microseconds()) / 1000
+	if o.request == "" || len(t.slowest) == slowestKept && took <= t.slowest[slowestKept-1].Took {
+		return
+	}
+	t.slowest = append(t.slowest, Slow{
+		Request: o.request, Route: r.stream.Route, Code: o.code,
+		At: r.intended.Sub(t.start).Seconds(), Took: took, intended: r.intended,
+	})
+	slices.SortFunc(t.slowest, func(a, b Slow) int { return cmp.Compare(b.Took, a.Took) })
+	t.slowest = t.slowest[:min(len(t.slowest), slowestKept)]
+}
+
+// explainSlow adds what the backend servers recorded of the slow requests.
+func (t *tally) explainSlow(record *standin.Record) {
+	for i := range t.slowest {
+		s := &t.slowest[i]
+		id, err := ident.ParseRequestID(s.Request)
+		if err != nil {
+			continue
+		}
+		for _, run := range record.Of(id) {
+			s.Runs++
+			s.LastStart = max(s.LastStart, float64(run.Started.Sub(s.intended).Microseconds())/1000)
+			s.LastEnd = max(s.LastEnd, float64(run.Ended.Sub(s.intended).Microseconds())/1000)
+		}
+	}
+}
+
+// row is one class or route; times are in microseconds.
 type row struct {
-	times    *hdrhistogram.Histogram // of every request
-	answered *hdrhistogram.Histogram // of those with an answer
-	codes    map[string]int
+	times *hdrhistogram.Histogram // of every request
+	codes map[string]int
 	// coverage sums the answers' shares of shards.
 	coverage float64
 	answers  int
@@ -55,7 +108,7 @@
 }
 
 func newTally(start time.Time, warmup time.Duration) *tally {
-	return &tally{start: start, warmup: warmup, rows: make(map[string]*row)}
+	return &tally{start: start, warmup: warmup, rows: make(map[string]*row), routes: make(map[string]*row)}
 }
 
 // lateTolerance is for the way of the answer through a busy process.
@@ -72,7 +125,9 @@
 	if at < t.warmup {
 		return
 	}
-	t.addToRow(r, o)
+	t.noteSlow(r, o)
+	addToRow(t.rows, r.row(), o)
+	addToRow(t.routes, r.stream.Route, o)
 	if o.answered() && o.took > r.wait+lateTolerance {
 		t.late++
 		if len(t.lateIDs) < maxLateIDs {
@@ -81,18 +136,17 @@
 	}
 }
 
-func (t *tally) addToRow(r request, o outcome) {
-	c := t.rows[r.row()]
+func addToRow(rows map[string]*row, name string, o outcome) {
+	c := rows[name]
 	if c == nil {
-		c = &row{times: newHistogram(), answered: newHistogram(), codes: make(map[string]int)}
-		t.rows[r.row()] = c
+		c = &row{times: newHistogram(), codes: make(map[string]int)}
+		rows[name] = c
 	}
 	record(c.times, o.took)
 	c.codes[o.code]++
 	if !o.answered() {
 		return
 	}
-	record(c.answered, o.took)
 	c.answers++
 	c.coverage += float64(o.have) / float64(o.total)
 	if o.have == o.total {
