--- a/parts.go
+++ b/parts.go
@@ -107,7 +107,9 @@
 		func() *peer.Pool { return peer.NewPool(o.PeerTLS) },
 		peer.NewServer,
 		func() (platform.Store, platform.HostList) { return openPlatform(s, o) },
-		func(configs *rollout.Agent) backend.Runner { return openBackends(s, o, configs) },
+		func(configs *rollout.Agent, registry *prometheus.Registry) (backend.Runner, error) {
+			return openBackends(s, o, configs, registry)
+		},
 		func(now clock) *snapshot.Pins { return snapshot.NewPins(now) },
 		newMember,
 		newRollout,
@@ -167,14 +169,15 @@
 	return client, client
 }
 
-func openBackends(s settings.Settings, o Options, configs *rollout.Agent) backend.Runner {
+func openBackends(s settings.Settings, o Options, configs *rollout.Agent, registry *prometheus.Registry) (backend.Runner, error) {
 	if o.Backends != nil {
-		return o.Backends
+		return o.Backends, nil
 	}
-	return backend.NewClient(backend.Options{
+	client := backend.NewClient(backend.Options{
 		MaxReplyBytes: int64(s.Limits.BackendReplyBytes),
 		Limit:         func(server backend.Server) int { return connectionShare(configs.Config(), server.Service) },
 	})
+	return client, client.RegisterMetrics(registry)
 }
 
 // connectionShare is how many connections this host opens to one server of the
@@ -322,8 +325,8 @@
 	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
 }
 
-func newDesk(s settings.Settings, incarnation ident.Incarnation, store platform.Store, pool *peer.Pool, members *member.Agent, later *late) *booking.Desk {
-	return booking.NewDesk(booking.Config{
+func newDesk(s settings.Settings, incarnation ident.Incarnation, store platform.Store, pool *peer.Pool, members *member.Agent, registry *prometheus.Registry, later *late) (*booking.Desk, error) {
+	desk := booking.NewDesk(booking.Config{
 		Host:        ident.HostID(s.Host.Name),
 		Incarnation: incarnation,
 		Run:         func(ctx context.Context, r booking.Request) booking.Result { return later.runBooking(ctx, r) },
@@ -336,6 +339,7 @@
 			Serving: func() []string { return servingPeers(members.View()) },
 		},
 	})
+	return desk, desk.RegisterMetrics(registry)
 }
 
 // findIssuer returns the peers' listener of the host that issued a ticket. It
