--- a/rollout/submit.go
+++ b/rollout/submit.go
@@ -84,9 +84,9 @@
 	contents bundle.Contents
 	logic    submission
 
-	head     acceptedHead // as last read
-	ancestor bundle.Ref   // where the walk down from the head has come to
-	written  int
+	head     acceptedHead         // as last read
+	ancestor bundle.Ref           // where the walk down from the head has come to
+	written  map[bundle.Hash]bool // documents, over all tries
 	prepared bool
 	// conflicted is set by a write that conflicted, and refusedVersion is the
 	// version it expected, which is 0 for the first head.
@@ -110,6 +110,7 @@
 		signed:   change.Signed,
 		manifest: manifest,
 		contents: change.Contents,
+		written:  make(map[bundle.Hash]bool),
 		logic:    submission{self: self, parent: manifest.Parent},
 	}, nil
 }
@@ -131,7 +132,7 @@
 			return Receipt{
 				Ref:              s.logic.self,
 				Superseded:       s.head.ref.Generation > s.logic.self.Generation,
-				DocumentsWritten: s.written,
+				DocumentsWritten: len(s.written),
 				Elapsed:          time.Since(started),
 			}, nil
 		case next == stepConflict:
@@ -151,11 +152,9 @@
 // do takes one step and returns the next. With an error the next step is the
 // one to take after a pause.
 func (s *submitter) do(ctx context.Context, current step) (step, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
-	defer cancel()
 	switch current {
 	case stepReadHead:
-		head, err := readHead(ctx, s.store)
+		head, err := s.readHead(ctx)
 		if err != nil {
 			return stepReadHead, err
 		}
@@ -177,6 +176,12 @@
 	}
 }
 
+func (s *submitter) readHead(ctx context.Context) (acceptedHead, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
+	defer cancel()
+	return readHead(ctx, s.store)
+}
+
 func (s *submitter) writeHead(ctx context.Context) (step, error) {
 	if !s.prepared {
 		if err := s.prepare(ctx); err != nil {
@@ -188,6 +193,8 @@
 	if err != nil {
 		return stepReadHead, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
+	defer cancel()
 	_, err = s.store.Put(ctx, HeadKey, raw, s.head.version)
 	if mayHaveTakenEffect(err) {
 		s.open = true
@@ -205,10 +212,13 @@
 // when a submitter dies between two writes.
 func (s *submitter) prepare(ctx context.Context) error {
 	for hash, content := range s.changed() {
+		if s.written[hash] {
+			continue
+		}
 		if err := s.create(ctx, documentKey(hash), content); err != nil {
 			return err
 		}
-		s.written++
+		s.written[hash] = true
 	}
 	if s.head.ref.IsZero() {
 		return nil
@@ -223,6 +233,8 @@
 // create writes an object that always has the same value, so one that is
 // there already is as good.
 func (s *submitter) create(ctx context.Context, key string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
+	defer cancel()
 	_, err := s.store.Put(ctx, key, value, 0)
 	if errors.Is(err, platform.ErrConflict) {
 		return nil
@@ -248,6 +260,8 @@
 }
 
 func (s *submitter) readAncestor(ctx context.Context) (step, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
+	defer cancel()
 	signed, err := readManifest(ctx, s.store, s.head, s.ancestor)
 	if errors.Is(err, platform.ErrNotFound) {
 		return stepReadAncestor, errStale // it was written before its successor
--- a/rollout/submit_test.go
+++ b/rollout/submit_test.go
@@ -205,6 +205,23 @@
 	})
 }
 
+// The first bundle of a large operator has 193 parts, and each write takes 50 ms
+// with the client's own rate limit. The whole takes longer than one call may; it
+// must go on where it was, not begin again until the operator gives up.
+func TestSubmitOfManyDocuments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 0, 0)
+		change, err := Propose(f.ctx, f.store, targetDocuments(), bundle.Proposal{Author: "ana", Reason: "large"})
+		is.NoErr(err)
+		f.store.SetFaults(standin.PlatformFaults{Delay: 50 * time.Millisecond, LoseReplies: 3, LoseWrites: 2})
+		receipt, err := f.submit(change.Sign(f.people.ana).Sign(f.people.marko))
+		is.NoErr(err)
+		is.Equal(receipt.DocumentsWritten, 193)
+		is.True(f.store.Calls().Writes() < 193+20)
+	})
+}
+
 // The store is down from the start: nothing was written, and the tool says
 // so, and not "not known".
 func TestSubmitWithStoreDown(t *testing.T) {
