--- a/bundle/config.go
+++ b/bundle/config.go
@@ -12,7 +12,7 @@
 // Defaults of settings that documents may leave out.
 const (
 	defaultMaxDeadline       = 30 * time.Second
-	defaultMaxQueue          = 512
+	defaultMaxQueue          = 2048
 	defaultHedgeBudget       = 0.02
 	defaultHedgeQuantile     = 0.95
 	defaultRetryBudget       = 0.1
--- a/bundle/documents.go
+++ b/bundle/documents.go
@@ -76,7 +76,7 @@
 	ReservedShare float64 `yaml:"reserved_share" json:"reserved_share"`
 	// DefaultDeadline is for requests that state none.
 	DefaultDeadline Duration `yaml:"default_deadline" json:"default_deadline"`
-	// MaxQueue bounds the waiting legs of the class at one home; default 512.
+	// MaxQueue bounds the waiting legs of the class at one home; default 2048.
 	MaxQueue int `yaml:"max_queue,omitempty" json:"max_queue,omitempty"`
 }
 
--- a/bundle/example.go
+++ b/bundle/example.go
@@ -11,7 +11,7 @@
   - name: interactive
     reserved_share: 0.5
     default_deadline: 250ms
-    max_queue: 512 # default
+    max_queue: 2048 # default
   - name: standard
     reserved_share: 0.3
     default_deadline: 2s
--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/settings"
 )
 
 // Limits of the documents' values.
@@ -23,7 +25,7 @@
 	mostQuarantine     = 24 * time.Hour
 	mostServers        = 100
 	leastAdvice        = time.Second
-	mostAdvice         = 5 * time.Minute
+	mostAdvice         = settings.LongestAdvice
 	mostShare          = 1 + 1e-9 // shares written as thirds may add up to a little over 1
 )
 
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -52,29 +52,56 @@
 
 var errNeverHeard = errors.New("catalog: the watcher has never heard the platform")
 
+// ask takes in what a watcher has that this host lacks. Pieces are applied
+// together: half a host list would read as lost servers.
 func (a *Agent) ask(ctx context.Context, address string) error {
+	f := &a.follow
+	epoch, sequence := f.epoch, f.sequence
+	var all Changes
+	for {
+		reply, err := a.askPiece(ctx, address, epoch, sequence)
+		if err != nil {
+			return err
+		}
+		piece := changesOf(reply)
+		if piece.Whole {
+			all = Changes{Whole: true}
+		}
+		all.Items = append(all.Items, piece.Items...)
+		epoch, sequence = piece.Epoch, piece.Sequence
+		if piece.More {
+			continue
+		}
+		a.change(func(l *Log) bool { return l.Apply(all) })
+		f.epoch, f.sequence = epoch, sequence
+		a.noteHeard(time.Duration(reply.GetHeardAgoMs()) * time.Millisecond)
+		return nil
+	}
+}
+
+func (a *Agent) askPiece(ctx context.Context, address string, epoch, sequence uint64) (*catalogpb.ChangesReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	f := &a.follow
 	client := catalogpb.NewDRPCCatalogClient(a.config.Peers.Conn(ctx, address))
-	reply, err := client.Changes(ctx, &catalogpb.ChangesRequest{Epoch: f.epoch, Sequence: f.sequence})
+	reply, err := client.Changes(ctx, &catalogpb.ChangesRequest{Epoch: epoch, Sequence: sequence})
 	if err != nil {
-		return errors.Wrap(err, "catalog: ask a watcher")
+		return nil, errors.Wrap(err, "catalog: ask a watcher")
 	}
 	if reply.GetHeardAgoMs() < 0 {
-		return errNeverHeard
+		return nil, errNeverHeard
 	}
-	a.change(func(l *Log) bool { return l.Apply(changesOf(reply)) })
-	f.epoch, f.sequence = reply.GetEpoch(), reply.GetSequence()
-	heard := time.Now().Add(-time.Duration(reply.GetHeardAgoMs()) * time.Millisecond)
+	return reply, nil
+}
+
+func (a *Agent) noteHeard(ago time.Duration) {
+	heard := time.Now().Add(-ago)
 	if heard.After(a.HeardAt()) {
 		a.heardAt.Store(heard.UnixNano())
 	}
-	return nil
 }
 
 func changesOf(reply *catalogpb.ChangesReply) Changes {
-	c := Changes{Epoch: reply.GetEpoch(), Sequence: reply.GetSequence(), Whole: reply.GetWhole()}
+	c := Changes{Epoch: reply.GetEpoch(), Sequence: reply.GetSequence(), Whole: reply.GetWhole(), More: reply.GetMore()}
 	for _, item := range reply.GetItems() {
 		c.Items = append(c.Items, Item{Key: item.GetKey(), Value: item.GetValue()})
 	}
@@ -92,9 +119,9 @@
 func (s server) Changes(_ context.Context, request *catalogpb.ChangesRequest) (*catalogpb.ChangesReply, error) {
 	a := s.agent
 	a.mu.Lock()
-	c := a.log.Since(request.GetEpoch(), request.GetSequence())
+	c := a.log.Since(request.GetEpoch(), request.GetSequence(), pieceBytes)
 	a.mu.Unlock()
-	reply := &catalogpb.ChangesReply{Epoch: c.Epoch, Sequence: c.Sequence, Whole: c.Whole, HeardAgoMs: neverHeard}
+	reply := &catalogpb.ChangesReply{Epoch: c.Epoch, Sequence: c.Sequence, Whole: c.Whole, More: c.More, HeardAgoMs: neverHeard}
 	if heard := a.HeardAt(); !heard.IsZero() {
 		reply.HeardAgoMs = max(time.Since(heard).Milliseconds(), 0)
 	}
@@ -104,5 +131,9 @@
 	return reply, nil
 }
 
+// pieceBytes is about how large one reply is: well under drpc's message limit
+// of 4 MB, and 21,000 servers come in some 16 pieces.
+const pieceBytes = 256 << 10
+
 // neverHeard stands in a reply's heard_ago_ms.
 const neverHeard = -1
--- a/catalog/log.go
+++ b/catalog/log.go
@@ -58,6 +58,10 @@
 		next := make(map[string][]byte, len(changes.Items))
 		for _, item := range changes.Items {
 			next[item.Key] = item.Value
+			if len(item.Value) == 0 {
+				// Removed while the pieces were fetched.
+				delete(next, item.Key)
+			}
 		}
 		return l.Replace("", next)
 	}
@@ -100,33 +104,57 @@
 	Value []byte
 }
 
-// Changes is what a follower lacks.
+// Changes is what a follower lacks, or the first piece of it.
 type Changes struct {
 	Epoch    uint64
-	Sequence uint64
-	Whole    bool
+	Sequence uint64 // of the last item; the next piece continues from it
+	Whole    bool   // the follower drops what it had
+	More     bool   // there are more pieces
 	Items    []Item
 }
 
-// Since lists what changed after a sequence of this log's epoch. A follower of
-// another epoch, or one too far behind, gets everything.
-func (l *Log) Since(epoch, sequence uint64) Changes {
+// Since lists what changed after a sequence of this log's epoch, in the order
+// of the changes, about mostBytes of it. A follower of another epoch, or one
+// too far behind, gets everything from the start.
+func (l *Log) Since(epoch, sequence uint64, mostBytes int) Changes {
 	c := Changes{Epoch: l.epoch, Sequence: l.sequence}
 	c.Whole = epoch != l.epoch || sequence > l.sequence || sequence < l.forgot || sequence == 0
-	for key, item := range l.items {
-		if c.Whole || item.sequence > sequence {
-			c.Items = append(c.Items, Item{Key: key, Value: item.value})
+	if c.Whole {
+		sequence = 0
+	}
+	changed := l.changedAfter(sequence, c.Whole)
+	bytes := 0
+	for i, at := range changed {
+		bytes += len(at.Key) + len(at.Value)
+		if bytes > mostBytes && i > 0 {
+			c.Sequence = changed[i-1].sequence
+			c.More = true
+			return c
 		}
+		c.Items = append(c.Items, at.Item)
 	}
-	if c.Whole {
-		return c
+	return c
+}
+
+type sequenced struct {
+	Item
+	sequence uint64
+}
+
+func (l *Log) changedAfter(sequence uint64, whole bool) []sequenced {
+	var changed []sequenced
+	for key, item := range l.items {
+		if item.sequence > sequence {
+			changed = append(changed, sequenced{Item{Key: key, Value: item.value}, item.sequence})
+		}
 	}
 	for key, at := range l.gone {
-		if at > sequence {
-			c.Items = append(c.Items, Item{Key: key})
+		if at > sequence && !whole {
+			changed = append(changed, sequenced{Item{Key: key}, at})
 		}
 	}
-	return c
+	sort.Slice(changed, func(i, j int) bool { return changed[i].sequence < changed[j].sequence })
+	return changed
 }
 
 // Below lists the values below a prefix in the order of their keys.
