--- /dev/null
+++ b/catalog/listing_test.go
@@ -0,0 +1,56 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/platform"
+)
+
+var start = time.Date(2026, 4, 6, 8, 0, 0, 0, time.UTC)
+
+func rowsOf(n int) []platform.ListedHost {
+	rows := make([]platform.ListedHost, n)
+	for i := range rows {
+		rows[i] = platform.ListedHost{Name: fmt.Sprint("server-", i), Kind: platform.KindBackend, State: platform.StateLive}
+	}
+	return rows
+}
+
+// For three seconds every search of sales staff is refused, though all backend
+// servers answer: the platform's host list came back empty, or with a few rows
+// only, and the hosts took it at its word.
+func TestEmptyOrCutListTakesNobodyOff(t *testing.T) {
+	is := is.New(t)
+	l := NewListing()
+	is.Equal(len(l.Read(start, rowsOf(10))), 10)
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		is.Equal(len(l.Read(now, nil)), 10)
+		is.Equal(len(l.Read(now, rowsOf(3))), 10)
+	}
+	is.Equal(len(l.Read(now.Add(keepAbsent), rowsOf(4))), 10)
+	is.Equal(len(l.Read(now.Add(keepCutOff+keepAbsent), rowsOf(4))), 4) // believed in the end
+}
+
+func TestRemovedServerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	l := NewListing()
+	l.Read(start, rowsOf(10))
+	is.Equal(len(l.Read(start.Add(time.Second), rowsOf(9))), 10)
+	is.Equal(len(l.Read(start.Add(keepAbsent+time.Second), rowsOf(9))), 9)
+}
+
+func TestNewRowReplacesTheOld(t *testing.T) {
+	is := is.New(t)
+	l := NewListing()
+	l.Read(start, rowsOf(1))
+	next := rowsOf(1)
+	next[0].Incarnation = 2
+	next[0].State = platform.StateLeaving
+	is.Equal(l.Read(start.Add(time.Second), next), next)
+}
--- a/parts.go
+++ b/parts.go
@@ -330,6 +330,7 @@
 		now:     now,
 		events:  make(chan func(), signalBuffer),
 		leaving: leaving.NewTable(),
+		listing: catalog.NewListing(),
 	}
 }
 
--- a/servers.go
+++ b/servers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/catalog"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
@@ -32,7 +33,8 @@
 	now          func() time.Time
 
 	events  chan func()
-	rows    []platform.ListedHost
+	listing *catalog.Listing
+	rows    []platform.ListedHost // in force
 	leaving *leaving.Table
 }
 
@@ -51,7 +53,7 @@
 // Servers implements catalog.Sink.
 func (s *servers) Servers(rows []platform.ListedHost) {
 	s.events <- func() {
-		s.rows = rows
+		s.rows = s.listing.Read(s.now(), rows)
 		for _, life := range s.leaving.HostList(s.now(), rows) {
 			s.left(life, "host list")
 		}
