--- a/cli/call.go
+++ b/cli/call.go
@@ -149,13 +149,14 @@
 			defer c.Close()
 			ctx, cancel := f.context(cmd)
 			defer cancel()
+			booking := client.Booking{Body: []byte(args[1]), Resent: ticket != ""}
 			if ticket == "" {
 				if ticket, err = c.Ticket(ctx, args[0]); err != nil {
 					return err
 				}
 			}
 			fmt.Fprintln(cmd.ErrOrStderr(), "ticket", ticket)
-			answer, err := c.Book(ctx, args[0], ticket, []byte(args[1]))
+			answer, err := c.Book(ctx, args[0], ticket, booking)
 			f.print(cmd.OutOrStdout(), answer)
 			return err
 		},
--- a/client/client.go
+++ b/client/client.go
@@ -57,6 +57,14 @@
 	Detail bool
 }
 
+// Booking is one booking.
+type Booking struct {
+	// Body is JSON, passed to the backend server as it is.
+	Body []byte
+	// Resent: the booking was sent before under this ticket.
+	Resent bool
+}
+
 // Answer is the reply to a query or booking; see the fields' comments in front.
 type Answer = front.Reply
 
@@ -106,16 +114,16 @@
 		return nil, err
 	}
 	m := front.QueryRequest{Class: q.Class, Body: q.Body, Detail: q.Detail}
-	return c.do(ctx, "/v1/query/"+route, true, func() (any, error) {
+	return c.do(ctx, "/v1/query/"+route, true, func(bool) any {
 		m.DeadlineMS = max(wait().Milliseconds(), 1)
-		return m, nil
+		return m
 	})
 }
 
 // Ticket asks for a ticket, with which a booking runs at most once however
 // often it is sent.
 func (c *Client) Ticket(ctx context.Context, route string) (string, error) {
-	reply, err := c.try(ctx, "/v1/tickets/"+route, nil, make(map[string]bool))
+	reply, err := c.try(ctx, sending{path: "/v1/tickets/" + route}, make(map[string]bool))
 	if err != nil {
 		return "", err
 	}
@@ -127,14 +135,20 @@
 }
 
 // Book runs a booking under a ticket. The same ticket may be sent again after
-// any error: it never runs twice, and a repeat gets the first one's outcome.
-func (c *Client) Book(ctx context.Context, route, ticket string, body []byte) (*Answer, error) {
+// any error: it never runs twice, and a repeat gets the first one's outcome. A
+// repeat sets Resent, so that no host calls it "not run" without knowing.
+func (c *Client) Book(ctx context.Context, route, ticket string, b Booking) (*Answer, error) {
 	wait, err := c.timeLeft(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return c.do(ctx, "/v1/bookings/"+route, false, func() (any, error) {
-		return front.BookingRequest{Ticket: ticket, Body: body, DeadlineMS: max(wait().Milliseconds(), 1)}, nil
+	return c.do(ctx, "/v1/bookings/"+route, false, func(resent bool) any {
+		return front.BookingRequest{
+			Ticket:     ticket,
+			Body:       b.Body,
+			DeadlineMS: max(wait().Milliseconds(), 1),
+			Resent:     resent || b.Resent,
+		}
 	})
 }
 
@@ -147,19 +161,15 @@
 }
 
 // do sends a request until it has a reply that is not worth another try.
-func (c *Client) do(ctx context.Context, path string, idempotent bool, message func() (any, error)) (*Answer, error) {
+func (c *Client) do(ctx context.Context, path string, idempotent bool, message func(resent bool) any) (*Answer, error) {
 	c.budget.deposit()
 	tried := make(map[string]bool)
 	for attempt := 1; ; attempt++ {
-		m, err := message()
-		if err != nil {
-			return nil, err
-		}
-		body, err := json.Marshal(m)
+		body, err := json.Marshal(message(attempt > 1))
 		if err != nil {
 			return nil, errors.Wrap(err, "client: body is not JSON")
 		}
-		answer, err := c.once(ctx, path, body, tried)
+		answer, err := c.once(ctx, sending{path: path, body: body, resent: attempt > 1}, tried)
 		wait, again := c.again(err, idempotent)
 		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, wait) || !c.budget.withdraw() {
 			return answer, err
@@ -168,8 +178,8 @@
 	}
 }
 
-func (c *Client) once(ctx context.Context, path string, body []byte, tried map[string]bool) (*Answer, error) {
-	reply, err := c.try(ctx, path, body, tried)
+func (c *Client) once(ctx context.Context, s sending, tried map[string]bool) (*Answer, error) {
+	reply, err := c.try(ctx, s, tried)
 	if err != nil {
 		return nil, err
 	}
--- a/client/transport.go
+++ b/client/transport.go
@@ -31,6 +31,13 @@
 func (e *unsentError) Error() string { return "client: not sent: " + e.cause.Error() }
 func (e *unsentError) Unwrap() error { return e.cause }
 
+// sending is one sending of a request.
+type sending struct {
+	path   string
+	body   []byte
+	resent bool
+}
+
 type httpReply struct {
 	status int
 	body   []byte
@@ -48,16 +55,19 @@
 }
 
 // try sends a request to one host that was not tried yet.
-func (c *Client) try(ctx context.Context, path string, body []byte, tried map[string]bool) (httpReply, error) {
+func (c *Client) try(ctx context.Context, s sending, tried map[string]bool) (httpReply, error) {
 	if c.hosts.stale(c.options.Now()) {
 		c.refresh(ctx)
 	}
 	address := c.hosts.pick(c.options.Now(), tried)
 	tried[address] = true
-	request, err := c.newRequest(ctx, http.MethodPost, address, path, body)
+	request, err := c.newRequest(ctx, http.MethodPost, address, s.path, s.body)
 	if err != nil {
 		return httpReply{}, &unsentError{err}
 	}
+	if s.resent {
+		request.Header.Set(front.HeaderResent, "true")
+	}
 	reply, err := c.send(request)
 	if err != nil {
 		c.hosts.pass(address, c.options.Now())
@@ -92,12 +102,14 @@
 
 // send does one HTTP exchange and believes only a whole reply.
 func (c *Client) send(request *http.Request) (httpReply, error) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+	// Once there is a connection, some of the request may leave at any moment,
+	// also after Do has returned; only without one is it surely unsent.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := c.http.Do(request)
 	if err != nil {
-		if !wrote.Load() {
+		if !connected.Load() {
 			return httpReply{}, &unsentError{err}
 		}
 		return httpReply{}, errors.Wrap(err, "client")
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -183,7 +183,7 @@
 	d.checker.Booking(bodyDigest(body))
 	for range 2 {
 		started = time.Now()
-		answer, err := d.clients[callerSales].Book(ctx, routeBook, ticket, body)
+		answer, err := d.clients[callerSales].Book(ctx, routeBook, ticket, client.Booking{Body: body})
 		d.report.add(classBooking, time.Since(started), answer, err)
 		if answer != nil {
 			d.checker.BookingAnswer(body, answer)
--- a/load/tier.go
+++ b/load/tier.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	t.checker.Booking(backend.Digest(r.body))
-	return c.Book(ctx, r.stream.Route, ticket, r.body)
+	return c.Book(ctx, r.stream.Route, ticket, client.Booking{Body: r.body})
 }
 
 // note checks the answer and takes its coverage.
