--- a/host.go
+++ b/host.go
@@ -97,7 +97,8 @@
 	return h, nil
 }
 
-// register adds every slice's service to the peers' server.
+// register adds every slice's service to the peers' server, and the host's
+// view of itself to the metrics.
 func (h *Host) register() error {
 	mux := h.parts.PeerServer.Mux()
 	inbound := exchange.NewServer(h.parts.Local, h.parts.Now)
@@ -107,9 +108,10 @@
 		func() error { return inbound.Register(mux) },
 		func() error { return h.parts.Desk.Register(mux) },
 		func() error { return h.parts.Catalog.Register(mux) },
+		h.registerView,
 	} {
 		if err := register(); err != nil {
-			return errors.Wrap(err, "register peers' services")
+			return errors.Wrap(err, "register services and metrics")
 		}
 	}
 	return nil
--- a/operators.go
+++ b/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/quarantine"
 )
 
@@ -86,6 +87,16 @@
 	return drain.PhaseServing
 }
 
+// registerView shows the host's view of itself as metrics.
+func (h *Host) registerView() error {
+	return observe.RegisterView(h.parts.Registry, observe.View{
+		Admission:  h.parts.Admission.Stats,
+		Quarantine: func() int { return len(h.parts.Crashes.book.Entries(h.parts.Now())) },
+		Phase:      h.phase,
+		Ready:      func() bool { return h.Ready() == nil && h.stop.Load() == nil },
+	})
+}
+
 // operatorsHandler serves health, metrics and status.
 func (h *Host) operatorsHandler() http.Handler {
 	r := chi.NewRouter()
