--- a/cli/call.go
+++ b/cli/call.go
@@ -70,8 +70,16 @@
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
 }
 
-func (f *callFlags) context(cmd *cobra.Command) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(cmd.Context(), f.wait)
+// call runs what a command does as a caller, within the time to wait.
+func (f *callFlags) call(cmd *cobra.Command, do func(ctx context.Context, c *client.Client) error) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(cmd.Context(), f.wait)
+	defer cancel()
+	return do(ctx, c)
 }
 
 // print writes an answer, also one that came with an error.
@@ -113,16 +121,11 @@
 		Long:  "Send one search as a caller. The bearer token is taken from " + tokenVariable + ".",
 		Args:  cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := f.client()
-			if err != nil {
+			return f.call(cmd, func(ctx context.Context, c *client.Client) error {
+				answer, err := c.Query(ctx, args[0], client.Query{Class: class, Body: []byte(args[1]), Detail: true})
+				f.print(cmd.OutOrStdout(), answer)
 				return err
-			}
-			defer c.Close()
-			ctx, cancel := f.context(cmd)
-			defer cancel()
-			answer, err := c.Query(ctx, args[0], client.Query{Class: class, Body: []byte(args[1]), Detail: true})
-			f.print(cmd.OutOrStdout(), answer)
-			return err
+			})
 		},
 	}
 	f.add(command)
@@ -142,23 +145,20 @@
 taken from ` + tokenVariable + ".",
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := f.client()
-			if err != nil {
-				return err
-			}
-			defer c.Close()
-			ctx, cancel := f.context(cmd)
-			defer cancel()
-			booking := client.Booking{Body: []byte(args[1]), Resent: ticket != ""}
-			if ticket == "" {
-				if ticket, err = c.Ticket(ctx, args[0]); err != nil {
-					return err
+			return f.call(cmd, func(ctx context.Context, c *client.Client) error {
+				booking := client.Booking{Body: []byte(args[1]), Resent: ticket != ""}
+				if ticket == "" {
+					issued, err := c.Ticket(ctx, args[0])
+					if err != nil {
+						return err
+					}
+					ticket = issued
 				}
-			}
-			fmt.Fprintln(cmd.ErrOrStderr(), "ticket", ticket)
-			answer, err := c.Book(ctx, args[0], ticket, booking)
-			f.print(cmd.OutOrStdout(), answer)
-			return err
+				fmt.Fprintln(cmd.ErrOrStderr(), "ticket", ticket)
+				answer, err := c.Book(ctx, args[0], ticket, booking)
+				f.print(cmd.OutOrStdout(), answer)
+				return err
+			})
 		},
 	}
 	f.add(command)
@@ -173,23 +173,18 @@
 		Short: "Ask the system which entry hosts to use",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			c, err := f.client()
-			if err != nil {
-				return err
-			}
-			defer c.Close()
-			ctx, cancel := f.context(cmd)
-			defer cancel()
-			hosts, err := c.Hosts(ctx)
-			if err != nil {
-				return err
-			}
-			if f.output == outputJSON {
-				printJSON(cmd.OutOrStdout(), hosts)
+			return f.call(cmd, func(ctx context.Context, c *client.Client) error {
+				hosts, err := c.Hosts(ctx)
+				if err != nil {
+					return err
+				}
+				if f.output == outputJSON {
+					printJSON(cmd.OutOrStdout(), hosts)
+					return nil
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), strings.Join(hosts, "\n"))
 				return nil
-			}
-			fmt.Fprintln(cmd.OutOrStdout(), strings.Join(hosts, "\n"))
-			return nil
+			})
 		},
 	}
 	f.add(command)
--- a/client/client.go
+++ b/client/client.go
@@ -204,6 +204,23 @@
 	}
 }
 
+// NoReply is the ResultName of a request to which no reply was had.
+const NoReply = "no_reply"
+
+// ResultName names how a request ended, for reports: the name of its result
+// code, or NoReply.
+func ResultName(answer *Answer, err error) string {
+	var refused *result.Error
+	switch {
+	case err == nil:
+		return answer.Name
+	case errors.As(err, &refused):
+		return refused.Code.String()
+	default:
+		return NoReply
+	}
+}
+
 // again decides whether the request may be sent again, and after which wait:
 // only what ran nowhere, or what is idempotent.
 func (c *Client) again(err error, idempotent bool) (time.Duration, bool) {
--- a/demo/report.go
+++ b/demo/report.go
@@ -8,12 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/pkg/errors"
-
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/client"
-	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/standin"
 )
 
@@ -55,7 +51,7 @@
 		r.classes[class] = c
 	}
 	_ = c.times.RecordValue(took.Microseconds()) // only fails over a minute
-	c.codes[codeName(answer, err)]++
+	c.codes[client.ResultName(answer, err)]++
 	if answer != nil && answer.Coverage != nil {
 		c.answers++
 		c.legs += answer.Coverage.Total
@@ -63,18 +59,6 @@
 	}
 }
 
-func codeName(answer *client.Answer, err error) string {
-	var refused *result.Error
-	switch {
-	case err == nil:
-		return answer.Name
-	case errors.As(err, &refused):
-		return refused.Code.String()
-	default:
-		return "no_reply"
-	}
-}
-
 // print writes a row for each class. The extra load is that of all classes:
 // runs above one for each leg that had to run.
 func (r *report) print(w io.Writer, record *standin.Record) {
--- a/load/tier.go
+++ b/load/tier.go
@@ -5,17 +5,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/client"
-	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/testbed"
 )
 
-// codeNoReply stands in the report for a request that got no reply at all.
-const codeNoReply = "no_reply"
-
 // outcome is what a caller saw of one request.
 type outcome struct {
 	took time.Duration // from the intended time of sending
@@ -109,14 +103,9 @@
 }
 
 func (t *tier) codeOf(answer *client.Answer, err error) string {
-	var refused *result.Error
-	switch {
-	case err == nil:
-		return answer.Name
-	case errors.As(err, &refused):
-		return refused.Code.String()
-	default:
+	name := client.ResultName(answer, err)
+	if name == client.NoReply {
 		t.lost.Add(1)
-		return codeNoReply
 	}
+	return name
 }
