--- a/certs/certs.go
+++ b/certs/certs.go
@@ -56,6 +56,9 @@
 	return f.failure
 }
 
+// Expires is when the certificate in use ends.
+func (f *Files) Expires() time.Time { return f.current().certificate.Leaf.NotAfter }
+
 // current returns what to use, reading the files again if they changed. Files
 // that are half written or wrong leave the earlier ones in use: a mistake in a
 // rotation must not close a listener that works.
--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -124,6 +124,7 @@
 	is.NoErr(err)
 	is.Equal(serial.Int64(), int64(10))
 	is.True(files.Failure() != nil)
+	is.True(files.Expires().After(now)) // still of the earlier files
 
 	a.write(t, folder, 11)
 	now = now.Add(2 * checkEvery)
--- a/host.go
+++ b/host.go
@@ -43,6 +43,8 @@
 	CallerTLS   *tls.Config
 	PeerTLS     *tls.Config
 	OperatorTLS *tls.Config
+
+	certificates []listenerFiles // of the settings; none in plain text
 }
 
 func (o Options) withDefaults() Options {
--- a/observe/view.go
+++ b/observe/view.go
@@ -1,6 +1,8 @@
 package observe
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -15,6 +17,16 @@
 	Quarantine func() int // requests refused at this moment
 	Phase      func() drain.Phase
 	Ready      func() bool
+	// Certificates are those of the listeners; none in plain text.
+	Certificates func() []Certificate
+}
+
+// Certificate is one listener's certificate in use.
+type Certificate struct {
+	Listener string
+	Expires  time.Time
+	// Refused: the files as they are now can't be used; earlier ones are.
+	Refused bool
 }
 
 // stopPhases are the values of the label phase.
@@ -28,6 +40,7 @@
 	inFlight, bytes                                        *prometheus.Desc
 	classInFlight, classBytes, capacity, pressure, callers *prometheus.Desc
 	quarantined, phase, ready                              *prometheus.Desc
+	expiry, refused                                        *prometheus.Desc
 }
 
 // RegisterView registers the gauges of a host's view of itself.
@@ -44,6 +57,8 @@
 		quarantined:   gauge("quarantine_entries", "Requests refused now because they crashed backend servers."),
 		phase:         gauge("stop_phase", "1 for the phase of the planned stop that the host is in, 0 for the others.", "phase"),
 		ready:         gauge("ready", "1 if the host takes new work, as /readyz says, else 0."),
+		expiry:        gauge("certificate_expiry_timestamp_seconds", "When the certificate in use ends, as Unix time.", "listener"),
+		refused:       gauge("certificate_files_refused", "1 if the TLS files were changed and can't be used; the earlier ones are.", "listener"),
 	}
 	return errors.Wrap(reg.Register(c), "metrics of the host's view")
 }
@@ -57,6 +72,7 @@
 	for _, desc := range []*prometheus.Desc{
 		c.inFlight, c.bytes, c.classInFlight, c.classBytes, c.capacity,
 		c.pressure, c.callers, c.quarantined, c.phase, c.ready,
+		c.expiry, c.refused,
 	} {
 		out <- desc
 	}
@@ -83,6 +99,10 @@
 		give(c.phase, oneIf(phase == now), phase.String())
 	}
 	give(c.ready, oneIf(c.view.Ready()))
+	for _, certificate := range c.view.Certificates() {
+		give(c.expiry, float64(certificate.Expires.Unix()), certificate.Listener)
+		give(c.refused, oneIf(certificate.Refused), certificate.Listener)
+	}
 }
 
 func oneIf(yes bool) float64 {
--- a/observe/view_test.go
+++ b/observe/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,26 +27,36 @@
 		Quarantine: func() int { return 2 },
 		Phase:      func() drain.Phase { return drain.PhaseLeaving },
 		Ready:      func() bool { return false },
+		Certificates: func() []Certificate {
+			return []Certificate{
+				{Listener: "callers", Expires: time.Unix(5000, 0)},
+				{Listener: "peers", Expires: time.Unix(6000, 0), Refused: true},
+			}
+		},
 	}))
 	is.Equal(gauges(t, reg), map[string]float64{
-		"goldcrestspan_admit_in_flight":                               3,
-		"goldcrestspan_admit_in_flight_bytes":                         300,
-		"goldcrestspan_admit_class_in_flight class=interactive":       2,
-		"goldcrestspan_admit_class_in_flight class=batch":             1,
-		"goldcrestspan_admit_class_in_flight_bytes class=interactive": 100,
-		"goldcrestspan_admit_class_in_flight_bytes class=batch":       200,
-		"goldcrestspan_admit_class_capacity class=interactive":        40,
-		"goldcrestspan_admit_class_capacity class=batch":              7,
-		"goldcrestspan_admit_class_pressure class=interactive":        0.5,
-		"goldcrestspan_admit_class_pressure class=batch":              1.5,
-		"goldcrestspan_admit_class_callers class=interactive":         1,
-		"goldcrestspan_admit_class_callers class=batch":               4,
-		"goldcrestspan_quarantine_entries":                            2,
-		"goldcrestspan_stop_phase phase=serving":                      0,
-		"goldcrestspan_stop_phase phase=leaving":                      1,
-		"goldcrestspan_stop_phase phase=refusing":                     0,
-		"goldcrestspan_stop_phase phase=done":                         0,
-		"goldcrestspan_ready":                                         0,
+		"goldcrestspan_admit_in_flight":                                       3,
+		"goldcrestspan_admit_in_flight_bytes":                                 300,
+		"goldcrestspan_admit_class_in_flight class=interactive":               2,
+		"goldcrestspan_admit_class_in_flight class=batch":                     1,
+		"goldcrestspan_admit_class_in_flight_bytes class=interactive":         100,
+		"goldcrestspan_admit_class_in_flight_bytes class=batch":               200,
+		"goldcrestspan_admit_class_capacity class=interactive":                40,
+		"goldcrestspan_admit_class_capacity class=batch":                      7,
+		"goldcrestspan_admit_class_pressure class=interactive":                0.5,
+		"goldcrestspan_admit_class_pressure class=batch":                      1.5,
+		"goldcrestspan_admit_class_callers class=interactive":                 1,
+		"goldcrestspan_admit_class_callers class=batch":                       4,
+		"goldcrestspan_quarantine_entries":                                    2,
+		"goldcrestspan_stop_phase phase=serving":                              0,
+		"goldcrestspan_stop_phase phase=leaving":                              1,
+		"goldcrestspan_stop_phase phase=refusing":                             0,
+		"goldcrestspan_stop_phase phase=done":                                 0,
+		"goldcrestspan_certificate_expiry_timestamp_seconds listener=callers": 5000,
+		"goldcrestspan_certificate_expiry_timestamp_seconds listener=peers":   6000,
+		"goldcrestspan_certificate_files_refused listener=callers":            0,
+		"goldcrestspan_certificate_files_refused listener=peers":              1,
+		"goldcrestspan_ready":                                                 0,
 	})
 }
 
--- a/operators.go
+++ b/operators.go
@@ -94,6 +94,8 @@
 		Quarantine: func() int { return len(h.parts.Crashes.book.Entries(h.parts.Now())) },
 		Phase:      h.phase,
 		Ready:      func() bool { return h.Ready() == nil && h.stop.Load() == nil },
+
+		Certificates: h.options.certificateViews,
 	})
 }
 
