--- a/client/advice.go
+++ b/client/advice.go
@@ -60,11 +60,15 @@
 	h.asking = false
 }
 
-// pass marks a host to be avoided for a while.
+// pass marks a host to be avoided for a while. When that was the last advised
+// one, the advice is of no more use.
 func (h *hosts) pass(address string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.avoid[address] = now.Add(avoidFor)
+	if fresh, _ := h.split(h.hosts, now, nil); len(fresh) == 0 {
+		h.until = time.Time{}
+	}
 }
 
 // pick draws a host by weight, leaving out those to be avoided while there is
@@ -86,14 +90,44 @@
 	return candidates[len(candidates)-1].Address
 }
 
+// candidates are the advised hosts to choose from.
+//
+// Failure: every advised host dies while the advice may still be kept. It shows
+// as refused connections until the advice lapses, though other hosts serve. The
+// guard holds because the seeds come next, and pass has the advice renewed.
 func (h *hosts) candidates(now time.Time, tried map[string]bool) []entry.Host {
-	all := h.hosts
-	if len(all) == 0 {
-		for _, seed := range h.seeds {
-			all = append(all, entry.Host{Address: seed, Weight: 1})
-		}
+	all := h.advised()
+	fresh, untried := h.split(all, now, tried)
+	if len(fresh) > 0 {
+		return fresh
+	}
+	if fresh, _ = h.split(h.seedHosts(), now, tried); len(fresh) > 0 {
+		return fresh
+	}
+	if len(untried) > 0 {
+		return untried
+	}
+	return all
+}
+
+// advised are the hosts of the last advice, or the seeds before the first.
+func (h *hosts) advised() []entry.Host {
+	if len(h.hosts) > 0 {
+		return h.hosts
 	}
-	var fresh, untried []entry.Host
+	return h.seedHosts()
+}
+
+func (h *hosts) seedHosts() []entry.Host {
+	all := make([]entry.Host, len(h.seeds))
+	for i, seed := range h.seeds {
+		all[i] = entry.Host{Address: seed, Weight: 1}
+	}
+	return all
+}
+
+// split leaves out what was tried, and in fresh also what is to be avoided.
+func (h *hosts) split(all []entry.Host, now time.Time, tried map[string]bool) (fresh, untried []entry.Host) {
 	for _, c := range all {
 		if tried[c.Address] || c.Weight <= 0 {
 			continue
@@ -103,13 +137,7 @@
 			fresh = append(fresh, c)
 		}
 	}
-	if len(fresh) > 0 {
-		return fresh
-	}
-	if len(untried) > 0 {
-		return untried
-	}
-	return all
+	return fresh, untried
 }
 
 // refresh asks one host for advice. It asks any known host: each can answer.
