--- a/host.go
+++ b/host.go
@@ -66,7 +66,8 @@
 	live    context.Context
 	end     context.CancelFunc
 
-	inFlight atomic.Int64 // requests of callers
+	replaced chan struct{} // closed once another process has this host's name
+	inFlight atomic.Int64  // requests of callers
 	stop     atomic.Pointer[drain.Stop]
 }
 
@@ -82,7 +83,7 @@
 		end()
 		return nil, err
 	}
-	h := &Host{parts: built, options: options, live: live, end: end}
+	h := &Host{parts: built, options: options, live: live, end: end, replaced: make(chan struct{})}
 	h.parts.Late.bind(h)
 	h.front = front.New(h, h.parts.Metrics, front.Options{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
@@ -97,7 +98,8 @@
 	return h, nil
 }
 
-// register adds every slice's service to the peers' server.
+// register adds every slice's service to the peers' server, and the host's
+// view of itself to the metrics.
 func (h *Host) register() error {
 	mux := h.parts.PeerServer.Mux()
 	inbound := exchange.NewServer(h.parts.Local, h.parts.Now)
@@ -107,9 +109,10 @@
 		func() error { return inbound.Register(mux) },
 		func() error { return h.parts.Desk.Register(mux) },
 		func() error { return h.parts.Catalog.Register(mux) },
+		h.registerView,
 	} {
 		if err := register(); err != nil {
-			return errors.Wrap(err, "register peers' services")
+			return errors.Wrap(err, "register services and metrics")
 		}
 	}
 	return nil
@@ -147,6 +150,8 @@
 		select {
 		case <-ctx.Done():
 			h.plannedStop(live)
+		case <-h.replaced:
+			h.plannedStop(live)
 		case <-live.Done():
 		}
 		_ = callers.Close()
