--- a/demo/report.go
+++ b/demo/report.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/client"
 	"github.com/goldcrestspan/goldcrestspan/standin"
