--- a/bundle/documents.go
+++ b/bundle/documents.go
@@ -53,7 +53,7 @@
 	// LeastCoverage is the share of shards, 0 to 1, below which the caller
 	// gets a refusal in place of an answer.
 	LeastCoverage float64 `yaml:"least_coverage" json:"least_coverage"`
-	// MaxDeadline bounds what a caller may ask for; default 30 s.
+	// MaxDeadline bounds the time that a request may take; default 30 s.
 	MaxDeadline Duration `yaml:"max_deadline,omitempty" json:"max_deadline,omitempty"`
 }
 
--- a/client/client.go
+++ b/client/client.go
@@ -122,8 +122,24 @@
 
 // Ticket asks for a ticket, with which a booking runs at most once however
 // often it is sent.
+//
+// It asks another host after any failure: a ticket that nobody uses costs
+// nothing, so asking twice does no harm.
 func (c *Client) Ticket(ctx context.Context, route string) (string, error) {
-	reply, err := c.try(ctx, sending{path: "/v1/tickets/" + route}, make(map[string]bool))
+	c.budget.deposit()
+	tried := make(map[string]bool)
+	for attempt := 1; ; attempt++ {
+		ticket, err := c.ticketOnce(ctx, route, tried)
+		wait, again := c.again(err, true)
+		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, wait) || !c.budget.withdraw() {
+			return ticket, err
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (c *Client) ticketOnce(ctx context.Context, route string, tried map[string]bool) (string, error) {
+	reply, err := c.try(ctx, sending{path: "/v1/tickets/" + route}, tried)
 	if err != nil {
 		return "", err
 	}
--- a/front/messages.go
+++ b/front/messages.go
@@ -14,7 +14,7 @@
 // QueryRequest is the body of POST /v1/query/{route}. Unknown fields are refused.
 type QueryRequest struct {
 	// DeadlineMS is the time the caller can wait, in milliseconds; 0 takes the
-	// class's default.
+	// class's default. More than the route's max_deadline counts as that.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// Class is one of the route's; empty takes the route's first.
 	Class string `json:"class,omitempty"`
--- a/stop.go
+++ b/stop.go
@@ -87,7 +87,8 @@
 		server.TLSConfig = config
 		err = server.ServeTLS(listener, "", "")
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		// Closed by a planned stop, or by Abort.
 		return nil
 	}
 	return err
--- a/testbed/answers_test.go
+++ b/testbed/answers_test.go
@@ -1,7 +1,10 @@
 package testbed_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -78,7 +81,7 @@
 	is.True(err != nil)
 }
 
-// Replies come half, damaged, crossed or not at all. Whatever reaches a caller
+// Replies come half, damaged, crossed, late or not at all. Whatever reaches a caller
 // must be the whole answer to its own request.
 func TestDamagedAndCrossedReplies(t *testing.T) {
 	bed := small(t, nil)
@@ -90,6 +93,7 @@
 			CorruptReplies: round % 3,
 			CrossedReplies: 2,
 			LostReplies:    round % 4 / 3,
+			LateBy:         time.Duration(round%5/4) * 30 * time.Millisecond,
 		})
 		seen := traffic.sent.Load()
 		await(t, "queries", func() bool { return traffic.sent.Load() > seen+30 })
@@ -140,3 +144,30 @@
 	is.Equal(answer.Code, result.Unauthorized)
 	is.Equal(bed.Record.Count(), 0)
 }
+
+// Replies come after the deadline of a query that takes parts. The caller must
+// have its partial answer in time, and the late replies must reach nobody.
+func TestLateReplies(t *testing.T) {
+	is := is.New(t)
+	bed := small(t, nil)
+	for _, standIn := range bed.BackendsOf(testbed.ServiceName(index, 1)) {
+		standIn.SetFaults(standin.BackendFaults{LateBy: 700 * time.Millisecond})
+	}
+	c := newClient(t, bed.CallerAddresses()...)
+	checker := newChecker(bed)
+	for n := range 8 {
+		body := fmt.Appendf(nil, `{"n":%d}`, n)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		answer, err := c.Query(ctx, "part", client.Query{Body: body, Detail: true})
+		cancel()
+		if err != nil {
+			// A busy machine may be late itself; it is told so, with no parts.
+			is.True(answer == nil || len(answer.Shards) == 0)
+			continue
+		}
+		is.Equal(answer.Code, result.Partial)
+		checker.Answer(body, answer)
+	}
+	broken, _ := checker.Finish()
+	is.Equal(len(broken), 0)
+}
