--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -4,7 +4,6 @@
 package homeserver
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,10 +192,6 @@
 	}
 }
 
-// Run context of attempts: they end by their deadline or by a cancel of the
-// home, never because the goroutine that submitted the leg has gone.
-var background = context.Background()
-
 // Open counts the legs that are under way at this host's homes.
 func (s *Server) Open() int {
 	s.mu.RLock()
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -163,7 +163,9 @@
 		l.hedges++
 	}
 	s.server.counter.Attempt(s.name, act.Hedge, act.Retry)
-	ctx, cancel := context.WithDeadline(background, l.request.Deadline)
+	// An attempt ends by its deadline or by a cancel of the home, never because
+	// the goroutine that submitted the leg has gone.
+	ctx, cancel := context.WithDeadline(context.Background(), l.request.Deadline)
 	s.attempts[act.Attempt] = &openAttempt{leg: act.Leg, cancel: cancel}
 	call := backend.Call{
 		Request:    l.request.Request,
--- a/host.go
+++ b/host.go
@@ -156,7 +156,7 @@
 			h.plannedStop(live)
 		case <-live.Done():
 		}
-		_ = callers.Close()
+		closeGently(live, callers)
 		_ = operators.Close()
 		h.end()
 		return nil
--- a/stop.go
+++ b/stop.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// closeWait bounds the last answers on callers' connections.
+const closeWait = time.Second
+
+// closeGently closes the callers' listener and its idle connections, and lets a
+// request that came in the last moment finish: it is answered by a refusal, and
+// a caller whose connection just breaks would not know that it did not run.
+func closeGently(live context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(live, closeWait)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
 // busy counts the callers' requests and the peers' legs in flight.
 func (h *Host) busy() int { return int(h.inFlight.Load()) + h.parts.Local.Open() }
 
--- a/testbed/answers_test.go
+++ b/testbed/answers_test.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspan/goldcrestspan/client"
 	"github.com/goldcrestspan/goldcrestspan/platform"
 	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/settings"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 	"github.com/goldcrestspan/goldcrestspan/standin"
 	"github.com/goldcrestspan/goldcrestspan/testbed"
@@ -171,3 +172,20 @@
 	broken, _ := checker.Finish()
 	is.Equal(len(broken), 0)
 }
+
+// An export takes longer than a caller may take to send its request. The time
+// limit on reading the request must not cut off the answer.
+func TestAnswerMayTakeLongerThanReadingTheRequest(t *testing.T) {
+	is := is.New(t)
+	bed := small(t, func(c *testbed.Config) {
+		c.Groups[0].Time = standin.ServiceTime{Base: 700 * time.Millisecond}
+		tune := c.Tune
+		c.Tune = func(s *settings.Settings) {
+			tune(s)
+			s.Limits.BodyTimeout = 200 * time.Millisecond
+		}
+	})
+	answer, err := ask(t, newClient(t, bed.CallerAddresses()...), "whole", `{}`)
+	is.NoErr(err)
+	is.True(answer.Coverage.Complete)
+}
