--- a/result/result.go
+++ b/result/result.go
@@ -53,6 +53,7 @@
 	NoBackend          Code = 315
 	RetryBudgetSpent   Code = 316
 	HomeUnavailable    Code = 317
+	Suspected          Code = 318
 
 	OutcomeNotKnown   Code = 400
 	IssuerGone        Code = 401
@@ -111,6 +112,7 @@
 	{NoBackend, "no_backend", http.StatusServiceUnavailable, ResendLater, "No backend server of a needed service takes work.", "Check the host list and the servers' state."},
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusServiceUnavailable, ResendLater, "Backend servers refused, and the retry budget is spent.", "Find what makes the service refuse; budgets guard it."},
 	{HomeUnavailable, "home_unavailable", http.StatusServiceUnavailable, ResendElsewhere, "The entry host that serves the shard can't be reached; nothing was sent.", "Check the link between the entry hosts."},
+	{Suspected, "suspected", http.StatusServiceUnavailable, ResendLater, "A request like this one was running when a backend server died; such are tried again one at a time.", "None, unless it lasts; see the quarantine page."},
 	{OutcomeNotKnown, "outcome_unknown", http.StatusBadGateway, ResendIdempotent, "The request was sent, and whether it ran is not known.", "Follow the page on unknown bookings."},
 	{IssuerGone, "issuer_gone", http.StatusGone, ResendIdempotent, "The entry host that issued the ticket is gone; whether the booking ran is not known.", "Follow the page on unknown bookings."},
 	{BookingInProgress, "booking_in_progress", http.StatusConflict, ResendIdempotent, "The first sending of this booking is still running; ask again for its outcome.", "None, unless it lasts."},
