--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -29,9 +28,6 @@
 	idlePerPeer = 2
 	// idleTotal bounds the pooled idle connections to all peers.
 	idleTotal = 64
-	// softCancelGrace lets a send in progress finish when a call is cancelled,
-	// which keeps the connection.
-	softCancelGrace = 5 * time.Millisecond
 )
 
 // Pool dials peers and keeps idle connections for later calls. A drpc
@@ -97,13 +93,15 @@
 	return newConn(secured), nil
 }
 
-func newConn(transport net.Conn) *drpcconn.Conn {
-	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()})
-}
-
-func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{SoftCancel: true, SoftCancelGrace: softCancelGrace}
-}
+// newConn makes a connection that is closed when a call on it is cancelled or
+// times out.
+//
+// Failure: something between the hosts loses track of a connection; it shows as
+// a call without a reply while writes still succeed. With drpc's soft cancel the
+// connection would go back into the pool, every later call would take it again,
+// and a live peer would be dead to this host. The guard holds because a
+// connection is pooled again only after a call on it has ended by itself.
+func newConn(transport net.Conn) *drpcconn.Conn { return drpcconn.New(transport) }
 
 // Server serves the registered services to peers.
 type Server struct {
@@ -118,6 +116,6 @@
 
 // Serve answers calls on the listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.New(s.mux)
 	return server.Serve(ctx, listener)
 }
