--- a/bundle/config.go
+++ b/bundle/config.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -124,15 +125,10 @@
 // is not the caller's reads the same as one that does not exist.
 func (c *Config) Route(name string, caller *Caller) (*Route, bool) {
 	route, ok := c.routes[name]
-	if !ok {
+	if !ok || !slices.Contains(route.Callers, caller.Name) {
 		return nil, false
 	}
-	for _, allowed := range route.Callers {
-		if allowed == caller.Name {
-			return route, true
-		}
-	}
-	return nil, false
+	return route, true
 }
 
 // CallerByToken finds the caller of a bearer token. Only hashes are compared.
--- a/client/budget.go
+++ b/client/budget.go
@@ -1,11 +1,16 @@
 package client
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/goldcrestspan/goldcrestspan/retry"
+)
 
 // budgetBurst is how many retries may come at once after quiet times.
 const budgetBurst = 10
 
-// budget lets a share of requests be sent again.
+// budget lets a share of requests be sent again: a retry.Budget for many
+// goroutines.
 //
 // Load: every caller's requests refused at once, by a saturated service.
 // Harm prevented: retries that multiply the load that caused the refusals.
@@ -13,24 +18,21 @@
 // yet covers the requests that a leaving host refuses.
 type budget struct {
 	mu     sync.Mutex
-	share  float64
-	tokens float64
+	budget retry.Budget
 }
 
-func newBudget(share float64) *budget { return &budget{share: share, tokens: budgetBurst} }
+func newBudget(share float64) *budget {
+	return &budget{budget: retry.NewBudget(share, budgetBurst)}
+}
 
 func (b *budget) deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.share, budgetBurst)
+	b.budget.Earn()
 }
 
 func (b *budget) withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b.budget.Spend()
 }
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -103,22 +103,11 @@
 
 // write sends frames until the stream breaks or ctx ends.
 func (l *link) write(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.out.ready:
-		}
-		batch := l.out.take()
-		if len(batch) == 0 {
-			continue
-		}
+	defer l.cancel()
+	l.out.drain(ctx, func(batch []item) error {
 		l.markSent(batch)
-		if err := l.stream.Send(frameOf(batch)); err != nil {
-			l.cancel()
-			return
-		}
-	}
+		return l.stream.Send(frameOf(batch))
+	})
 }
 
 // markSent marks legs before their frame is written: once any byte may have
--- a/exchange/outbox.go
+++ b/exchange/outbox.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"sync"
 
 	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
@@ -76,6 +77,24 @@
 	return rest
 }
 
+// drain hands batches to send, in order, until it fails or ctx ends.
+func (o *outbox) drain(ctx context.Context, send func(batch []item) error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.ready:
+		}
+		batch := o.take()
+		if len(batch) == 0 {
+			continue
+		}
+		if send(batch) != nil {
+			return
+		}
+	}
+}
+
 func frameOf(batch []item) *exchangepb.Frame {
 	f := &exchangepb.Frame{}
 	for _, it := range batch {
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -104,16 +104,5 @@
 
 func (in *inbound) write(ctx context.Context, cancel context.CancelFunc, stream exchangepb.DRPCExchange_LegsStream) {
 	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-in.out.ready:
-		}
-		if batch := in.out.take(); len(batch) > 0 {
-			if err := stream.Send(frameOf(batch)); err != nil {
-				return
-			}
-		}
-	}
+	in.out.drain(ctx, func(batch []item) error { return stream.Send(frameOf(batch)) })
 }
--- a/front/check.go
+++ b/front/check.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -76,7 +77,7 @@
 	if class == "" {
 		class = route.Classes[0]
 	}
-	if !contains(route.Classes, class) {
+	if !slices.Contains(route.Classes, class) {
 		return Query{}, result.Errorf(result.BadRequest, "class %q: the route takes %s", class, strings.Join(route.Classes, ", "))
 	}
 	x.class = class
@@ -107,12 +108,3 @@
 	spec, _, _ := config.Class(class)
 	return min(time.Duration(spec.DefaultDeadline), limit), nil
 }
-
-func contains(all []string, one string) bool {
-	for _, s := range all {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
