--- a/booking/claim.go
+++ b/booking/claim.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -83,7 +83,7 @@
 	switch {
 	case err == nil:
 		return claimMine
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, metastore.ErrUnavailable), errors.Is(err, metastore.ErrTooLarge):
 		return claimRefused
 	default:
 		// Held by another, or ambiguous, or an error that promises nothing.
@@ -97,7 +97,7 @@
 // the same ticket can settle it. Whichever of the two writes lands first, they
 // name one ticket.
 func afterRead(readErr error, tries int) claimStep {
-	if errors.Is(readErr, platform.ErrNotFound) && tries < maxClaimTries {
+	if errors.Is(readErr, metastore.ErrNotFound) && tries < maxClaimTries {
 		return claimAgain
 	}
 	return claimUnclear
--- a/booking/desk.go
+++ b/booking/desk.go
@@ -8,7 +8,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -70,7 +70,7 @@
 	Run         Runner
 	Peers       Peers
 	// Store takes the claims of idempotency keys; nil: keys are refused.
-	Store platform.Store
+	Store metastore.Store
 	// MaxRecords bounds the used tickets remembered; default 16384.
 	MaxRecords int
 	// MaxRecordBytes bounds the answers kept with them; default 8 MiB.
--- a/booking/keys.go
+++ b/booking/keys.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -77,7 +77,7 @@
 	return Result{Code: result.OutcomeNotKnown, Detail: "the store does not say whether the key is claimed; ask again with the same key"}
 }
 
-func (d *Desk) readClaim(ctx context.Context, r Request, key string, object platform.Object) Result {
+func (d *Desk) readClaim(ctx context.Context, r Request, key string, object metastore.Object) Result {
 	found, err := parseClaim(object.Value)
 	if err != nil {
 		return claimUnclearResult()
--- a/bundle/split.go
+++ b/bundle/split.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -121,8 +121,8 @@
 	if err != nil {
 		return Hash{}, errors.Wrap(err, "encode document")
 	}
-	if len(content) > platform.MaxValueBytes {
-		return Hash{}, errors.Errorf("a document of %d bytes is over the platform's limit of %d; split large routes or classes", len(content), platform.MaxValueBytes)
+	if len(content) > metastore.MaxValueBytes {
+		return Hash{}, errors.Errorf("a document of %d bytes is over the platform's limit of %d; split large routes or classes", len(content), metastore.MaxValueBytes)
 	}
 	hash := HashOf(content)
 	contents[hash] = content
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,7 +17,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
 
@@ -47,7 +47,7 @@
 
 // Sink takes what is new. Its methods are called from the agent's goroutines.
 type Sink interface {
-	Servers(rows []platform.ListedHost)
+	Servers(rows []metastore.ListedHost)
 	Snapshots(all []*snapshot.Snapshot)
 }
 
@@ -58,8 +58,8 @@
 
 // Config is what an Agent works with; every field is required.
 type Config struct {
-	Store platform.Store
-	List  platform.HostList
+	Store metastore.Store
+	List  metastore.HostList
 	Sink  Sink
 	Peers Peers
 	// IsWatcher tells whether this host reads the platform for its zone.
@@ -122,7 +122,7 @@
 func (a *Agent) readHosts(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, err := a.config.List.Hosts(ctx, platform.KindBackend)
+	rows, err := a.config.List.Hosts(ctx, metastore.KindBackend)
 	a.note(err)
 	if err != nil {
 		return false
@@ -158,7 +158,7 @@
 	hosts, snapshots := a.log.Below(hostsPrefix), a.log.Below(SnapshotPrefix)
 	a.mu.Unlock()
 	a.config.Sink.Snapshots(decode[*snapshot.Snapshot](snapshots))
-	a.config.Sink.Servers(decode[platform.ListedHost](hosts))
+	a.config.Sink.Servers(decode[metastore.ListedHost](hosts))
 }
 
 // decode leaves out what can't be read: one bad row must not hide the others.
--- a/catalog/listing.go
+++ b/catalog/listing.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -32,7 +32,7 @@
 }
 
 type listed struct {
-	row platform.ListedHost
+	row metastore.ListedHost
 	at  time.Time // of the last reading that named it
 }
 
@@ -41,7 +41,7 @@
 
 // Read takes in a reading of the host list and returns the servers in force,
 // sorted by name.
-func (l *Listing) Read(now time.Time, rows []platform.ListedHost) []platform.ListedHost {
+func (l *Listing) Read(now time.Time, rows []metastore.ListedHost) []metastore.ListedHost {
 	keep := keepAbsent
 	if 2*len(rows) < len(l.servers) {
 		keep = keepCutOff
@@ -63,11 +63,11 @@
 	}
 }
 
-func (l *Listing) all() []platform.ListedHost {
-	rows := make([]platform.ListedHost, 0, len(l.servers))
+func (l *Listing) all() []metastore.ListedHost {
+	rows := make([]metastore.ListedHost, 0, len(l.servers))
 	for _, server := range l.servers {
 		rows = append(rows, server.row)
 	}
-	slices.SortFunc(rows, func(a, b platform.ListedHost) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(rows, func(a, b metastore.ListedHost) int { return cmp.Compare(a.Name, b.Name) })
 	return rows
 }
--- a/cli/bundle.go
+++ b/cli/bundle.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // Values of the --output flag.
@@ -57,11 +57,11 @@
 }
 
 // store opens the platform's object API.
-func (f *bundleFlags) store() (*platform.Client, error) {
+func (f *bundleFlags) store() (*metastore.Client, error) {
 	if len(f.platform) == 0 {
 		return nil, errors.New("--platform is missing; give the address of the platform's object API, IP and port")
 	}
-	return platform.NewClient(f.platform, platform.ClientOptions{}), nil
+	return metastore.NewClient(f.platform, metastore.ClientOptions{}), nil
 }
 
 // print writes the value as JSON, or the text.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/client"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/testbed"
 )
 
@@ -210,7 +210,7 @@
 		return errors.New("an answer with a lost shard says that it is complete")
 	}
 	for _, standIn := range d.bed.BackendsOf(lost) {
-		d.bed.List(standIn, platform.StateLeaving)
+		d.bed.List(standIn, metastore.StateLeaving)
 	}
 	return nil
 }
--- a/host.go
+++ b/host.go
@@ -23,7 +23,7 @@
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/front"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 )
@@ -34,8 +34,8 @@
 	Registry *prometheus.Registry // default: one of its own
 	Now      func() time.Time     // default: time.Now
 	// Store and HostList, set together, stand in for the platform's client.
-	Store    platform.Store
-	HostList platform.HostList
+	Store    metastore.Store
+	HostList metastore.HostList
 	// Backends stands in for the HTTP client of backend servers.
 	Backends backend.Runner
 	// CallerTLS and OperatorTLS are for the listeners; PeerTLS, for both
--- a/leaving/leaving.go
+++ b/leaving/leaving.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // Signal is what an entry host learned of a server.
@@ -92,14 +92,14 @@
 // would lose all its servers. So absence from the list means nothing here: only
 // a row that says "leaving" takes a server out. A lagging list that still says
 // "live" brings nobody back either, as the life it names has left.
-func (t *Table) HostList(now time.Time, rows []platform.ListedHost) []Life {
+func (t *Table) HostList(now time.Time, rows []metastore.ListedHost) []Life {
 	var news []Life
 	for _, row := range rows {
-		if row.Kind != platform.KindBackend {
+		if row.Kind != metastore.KindBackend {
 			continue
 		}
 		s := t.server(now, row.Name)
-		if row.State != platform.StateLeaving {
+		if row.State != metastore.StateLeaving {
 			t.meet(s, row.Incarnation)
 			continue
 		}
--- a/load/inject.go
+++ b/load/inject.go
@@ -10,7 +10,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 	"github.com/goldcrestspan/goldcrestspan/standin"
@@ -306,7 +306,7 @@
 		undoAfter(ctx, length, func() { standIn.Drain(false) })
 	case KindLeave:
 		standIn.SetFaults(standin.BackendFaults{DrainUntold: true})
-		bed.List(standIn, platform.StateLeaving)
+		bed.List(standIn, metastore.StateLeaving)
 		if bed == in.bed {
 			in.checker.Left(e.Server, time.Now())
 		}
--- a/member/agent.go
+++ b/member/agent.go
@@ -14,7 +14,7 @@
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/peer"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -45,7 +45,7 @@
 type AgentConfig struct {
 	Membership Config
 	Pool       *peer.Pool
-	HostList   platform.HostList // nil: no second opinion
+	HostList   metastore.HostList // nil: no second opinion
 	Now        func() time.Time  // nil: time.Now
 	Rand       *rand.Rand        // nil: seeded by the operating system
 	Logger     *zap.Logger
--- a/member/hostlist.go
+++ b/member/hostlist.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // hostList is the platform's list of entry hosts as last read.
@@ -19,17 +19,17 @@
 type hostList struct {
 	readAt    time.Time
 	live      map[ident.HostID]bool
-	rows      []platform.ListedHost // live entry hosts
+	rows      []metastore.ListedHost // live entry hosts
 	plausible bool
 }
 
 // HostList takes a fresh reading of the platform's host list.
-func (m *Membership) HostList(now time.Time, rows []platform.ListedHost) {
+func (m *Membership) HostList(now time.Time, rows []metastore.ListedHost) {
 	m.enter(now)
 	list := hostList{readAt: now, live: make(map[ident.HostID]bool)}
 	for _, row := range rows {
 		id := ident.HostID(row.Name)
-		if row.Kind != platform.KindEntry || row.State != platform.StateLive {
+		if row.Kind != metastore.KindEntry || row.State != metastore.StateLive {
 			continue
 		}
 		list.live[id] = true
--- a/member/listreader.go
+++ b/member/listreader.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // startListReader reads the platform's host list now and then. The returned
@@ -61,7 +61,7 @@
 func (a *Agent) readList(ctx context.Context, failing bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	rows, err := a.config.HostList.Hosts(ctx, platform.KindEntry)
+	rows, err := a.config.HostList.Hosts(ctx, metastore.KindEntry)
 	if err != nil {
 		if !failing {
 			a.config.Logger.Warn("the platform's host list can't be read", zap.Error(err))
--- a/platform/platform.go
+++ b/metastore/metastore.go
@@ -1,7 +1,7 @@
-// Package platform is the boundary to the users' platform: its object API with
+// Package metastore is the boundary to the users' platform: its object API with
 // versions, conditional updates and watches, and its lagging host list. The
 // platform is the only place where something lasts; entry hosts keep nothing.
-package platform
+package metastore
 
 import (
 	"context"
@@ -15,16 +15,16 @@
 // Errors of a Store. Test for them with errors.Is.
 var (
 	// ErrNotFound: the key holds no object.
-	ErrNotFound = errors.New("platform: object not found")
+	ErrNotFound = errors.New("metastore: object not found")
 	// ErrConflict: the object's version is not the one expected; nothing was written.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("metastore: version conflict")
 	// ErrUnavailable: the call surely had no effect (refused, or not sent).
-	ErrUnavailable = errors.New("platform: store unavailable")
+	ErrUnavailable = errors.New("metastore: store unavailable")
 	// ErrAmbiguous: a write was sent and its reply was lost. It may have taken
 	// effect; the writer must read back before it says anything.
-	ErrAmbiguous = errors.New("platform: write outcome unknown")
+	ErrAmbiguous = errors.New("metastore: write outcome unknown")
 	// ErrTooLarge: the value is over MaxValueBytes; nothing was written.
-	ErrTooLarge = errors.New("platform: value too large")
+	ErrTooLarge = errors.New("metastore: value too large")
 )
 
 // Object is one versioned value.
--- a/platform/wire.go
+++ b/metastore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import "net/http"
 
--- a/parts.go
+++ b/parts.go
@@ -22,7 +22,7 @@
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 	"github.com/goldcrestspan/goldcrestspan/settings"
@@ -110,7 +110,7 @@
 		openListeners,
 		func() *peer.Pool { return peer.NewPool(o.PeerTLS) },
 		peer.NewServer,
-		func() (platform.Store, platform.HostList) { return openPlatform(s, o) },
+		func() (metastore.Store, metastore.HostList) { return openPlatform(s, o) },
 		func(configs *rollout.Agent, registry *prometheus.Registry) (backend.Runner, error) {
 			return openBackends(s, o, configs, registry)
 		},
@@ -167,11 +167,11 @@
 	}
 }
 
-func openPlatform(s settings.Settings, o Options) (platform.Store, platform.HostList) {
+func openPlatform(s settings.Settings, o Options) (metastore.Store, metastore.HostList) {
 	if o.Store != nil {
 		return o.Store, o.HostList
 	}
-	client := platform.NewClient(s.Platform.Addresses, platform.ClientOptions{Timeout: s.Platform.Timeout})
+	client := metastore.NewClient(s.Platform.Addresses, metastore.ClientOptions{Timeout: s.Platform.Timeout})
 	return client, client
 }
 
--- a/parts_control.go
+++ b/parts_control.go
@@ -8,12 +8,12 @@
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/peer"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 )
 
-func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list platform.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation, later *late) *member.Agent {
+func newMember(s settings.Settings, l *listeners, pool *peer.Pool, list metastore.HostList, now clock, log *zap.Logger, registry *prometheus.Registry, incarnation ident.Incarnation, later *late) *member.Agent {
 	return member.NewAgent(member.AgentConfig{
 		Membership: member.Config{
 			Self: member.Host{
@@ -40,7 +40,7 @@
 	})
 }
 
-func newRollout(s settings.Settings, l *listeners, store platform.Store, pool *peer.Pool, members *member.Agent, now clock, log *zap.Logger, registry *prometheus.Registry, later *late) (*rollout.Agent, error) {
+func newRollout(s settings.Settings, l *listeners, store metastore.Store, pool *peer.Pool, members *member.Agent, now clock, log *zap.Logger, registry *prometheus.Registry, later *late) (*rollout.Agent, error) {
 	signers, err := bundle.NewSigners(s.Keys.Signers)
 	if err != nil {
 		return nil, err
--- a/parts_traffic.go
+++ b/parts_traffic.go
@@ -20,7 +20,7 @@
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
@@ -84,7 +84,7 @@
 	}
 }
 
-func newCatalog(s settings.Settings, store platform.Store, list platform.HostList, sink *servers, pool *peer.Pool, members *member.Agent, incarnation ident.Incarnation, log *zap.Logger) *catalog.Agent {
+func newCatalog(s settings.Settings, store metastore.Store, list metastore.HostList, sink *servers, pool *peer.Pool, members *member.Agent, incarnation ident.Incarnation, log *zap.Logger) *catalog.Agent {
 	return catalog.NewAgent(catalog.Config{
 		Store:     store,
 		List:      list,
@@ -128,7 +128,7 @@
 	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
 }
 
-func newDesk(s settings.Settings, incarnation ident.Incarnation, store platform.Store, pool *peer.Pool, members *member.Agent, registry *prometheus.Registry, later *late) (*booking.Desk, error) {
+func newDesk(s settings.Settings, incarnation ident.Incarnation, store metastore.Store, pool *peer.Pool, members *member.Agent, registry *prometheus.Registry, later *late) (*booking.Desk, error) {
 	desk := booking.NewDesk(booking.Config{
 		Host:        ident.HostID(s.Host.Name),
 		Incarnation: incarnation,
--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -13,7 +13,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout/rolloutpb"
 )
 
@@ -27,7 +27,7 @@
 type AgentConfig struct {
 	// Address is this host's peers' listener, which others pull from.
 	Address string
-	Store   platform.Store
+	Store   metastore.Store
 	Peers   Peers
 	Signers bundle.Signers
 	// IsWatcher tells whether this host watches the store for its zone.
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // callStore makes one call to the store with a deadline, within the host's
@@ -22,7 +22,7 @@
 	defer cancel()
 	a.metrics.storeCalls.WithLabelValues(name).Inc()
 	err := call(ctx)
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, metastore.ErrNotFound) {
 		a.storeHeardAt.Store(a.config.Now().UnixNano())
 	}
 	return err
@@ -30,7 +30,7 @@
 
 // readStoreHead reads the head and the revision to watch from.
 func (a *Agent) readStoreHead(ctx context.Context) (head, uint64, error) {
-	var object platform.Object
+	var object metastore.Object
 	err := a.callStore(ctx, a.storeLimit, "get_head", storeTimeout, func(ctx context.Context) (err error) {
 		object, err = a.config.Store.Get(ctx, HeadKey)
 		return err
@@ -43,7 +43,7 @@
 }
 
 func (a *Agent) readStoreDocument(ctx context.Context, hash bundle.Hash) ([]byte, error) {
-	var object platform.Object
+	var object metastore.Object
 	err := a.callStore(ctx, a.documentLimit, "get_document", storeTimeout, func(ctx context.Context) (err error) {
 		object, err = a.config.Store.Get(ctx, documentKey(hash))
 		return err
@@ -132,7 +132,7 @@
 		return err
 	}
 	value, _, err := a.readStoreHead(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return nil
 	}
 	if err == nil {
@@ -172,7 +172,7 @@
 	}
 }
 
-func (a *Agent) watchOnce(ctx context.Context, after uint64) (changed []platform.Object, next uint64, err error) {
+func (a *Agent) watchOnce(ctx context.Context, after uint64) (changed []metastore.Object, next uint64, err error) {
 	err = a.callStore(ctx, a.storeLimit, "watch", watchWait, func(ctx context.Context) (err error) {
 		changed, next, err = a.config.Store.Watch(ctx, HeadKey, after)
 		return err
@@ -180,7 +180,7 @@
 	return changed, next, err
 }
 
-func (a *Agent) takeChanged(ctx context.Context, changed []platform.Object) {
+func (a *Agent) takeChanged(ctx context.Context, changed []metastore.Object) {
 	for _, object := range changed {
 		if object.Key != HeadKey {
 			continue
--- a/rollout/head.go
+++ b/rollout/head.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -59,7 +59,7 @@
 
 // decodeHead reads a head object. It checks no signature.
 func decodeHead(raw []byte) (head, error) {
-	if len(raw) > platform.MaxValueBytes {
+	if len(raw) > metastore.MaxValueBytes {
 		return head{}, errors.Errorf("head of %d bytes is over the platform's limit", len(raw))
 	}
 	var value head
@@ -96,9 +96,9 @@
 }
 
 // readHead reads the head; a store without one gives the zero head.
-func readHead(ctx context.Context, store platform.Store) (acceptedHead, error) {
+func readHead(ctx context.Context, store metastore.Store) (acceptedHead, error) {
 	object, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return acceptedHead{}, nil
 	}
 	if err != nil {
@@ -116,7 +116,7 @@
 }
 
 // readManifest reads an accepted manifest from the head or the history.
-func readManifest(ctx context.Context, store platform.Store, current acceptedHead, ref bundle.Ref) (bundle.Signed, error) {
+func readManifest(ctx context.Context, store metastore.Store, current acceptedHead, ref bundle.Ref) (bundle.Signed, error) {
 	if ref == current.ref {
 		return current.signed, nil
 	}
@@ -128,7 +128,7 @@
 }
 
 // findManifest reads an accepted manifest by its generation alone.
-func findManifest(ctx context.Context, store platform.Store, generation uint64) (bundle.Signed, error) {
+func findManifest(ctx context.Context, store metastore.Store, generation uint64) (bundle.Signed, error) {
 	objects, err := store.List(ctx, generationPrefix(generation))
 	switch {
 	case err != nil:
@@ -142,7 +142,7 @@
 }
 
 // readDocuments adds the documents of the parts that contents lacks.
-func readDocuments(ctx context.Context, store platform.Store, parts bundle.Parts, contents bundle.Contents) error {
+func readDocuments(ctx context.Context, store metastore.Store, parts bundle.Parts, contents bundle.Contents) error {
 	for _, hash := range parts.Missing(contents) {
 		object, err := store.Get(ctx, documentKey(hash))
 		if err != nil {
@@ -157,9 +157,9 @@
 }
 
 // readRef reads the hint; zero: there is none.
-func readRef(ctx context.Context, store platform.Store) (bundle.Ref, uint64, error) {
+func readRef(ctx context.Context, store metastore.Store) (bundle.Ref, uint64, error) {
 	object, err := store.Get(ctx, refKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return bundle.Ref{}, 0, nil
 	}
 	if err != nil {
@@ -171,7 +171,7 @@
 }
 
 // writeRef writes the hint unless it names a generation that is as high.
-func writeRef(ctx context.Context, store platform.Store, ref bundle.Ref) error {
+func writeRef(ctx context.Context, store metastore.Store, ref bundle.Ref) error {
 	there, version, err := readRef(ctx, store)
 	if err != nil || there.Generation >= ref.Generation {
 		return err
--- a/rollout/operators.go
+++ b/rollout/operators.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // Accepted is one accepted generation in the history.
@@ -23,7 +23,7 @@
 
 // Current reads the accepted configuration; a store without one gives a zero
 // Ref and empty documents.
-func Current(ctx context.Context, store platform.Store) (bundle.Ref, bundle.Parts, bundle.Documents, error) {
+func Current(ctx context.Context, store metastore.Store) (bundle.Ref, bundle.Parts, bundle.Documents, error) {
 	current, err := readHead(ctx, store)
 	if err != nil || current.ref.IsZero() {
 		return bundle.Ref{}, bundle.Parts{}, bundle.Documents{}, err
@@ -33,7 +33,7 @@
 }
 
 // Propose makes an unsigned change of the accepted configuration.
-func Propose(ctx context.Context, store platform.Store, docs bundle.Documents, p bundle.Proposal) (bundle.Change, error) {
+func Propose(ctx context.Context, store metastore.Store, docs bundle.Documents, p bundle.Proposal) (bundle.Change, error) {
 	current, err := readHead(ctx, store)
 	if err != nil {
 		return bundle.Change{}, err
@@ -43,7 +43,7 @@
 
 // Rollback makes an unsigned change that restores an earlier generation: a new
 // generation that names it. It needs sign-offs and Submit like any other.
-func Rollback(ctx context.Context, store platform.Store, to uint64, p bundle.Proposal) (bundle.Change, error) {
+func Rollback(ctx context.Context, store metastore.Store, to uint64, p bundle.Proposal) (bundle.Change, error) {
 	current, err := readHead(ctx, store)
 	if err != nil {
 		return bundle.Change{}, err
@@ -80,7 +80,7 @@
 }
 
 // History reads the newest accepted generations, at most limit, newest first.
-func History(ctx context.Context, store platform.Store, limit int) ([]Accepted, error) {
+func History(ctx context.Context, store metastore.Store, limit int) ([]Accepted, error) {
 	current, err := readHead(ctx, store)
 	if err != nil || current.ref.IsZero() {
 		return nil, err
--- a/rollout/submission.go
+++ b/rollout/submission.go
@@ -4,7 +4,7 @@
 	"errors"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // step is what a submission does next.
@@ -87,6 +87,6 @@
 // mayHaveTakenEffect reports whether a failed write leaves the outcome open.
 // Only errors that the store defines as without effect are sure.
 func mayHaveTakenEffect(err error) bool {
-	return err != nil && !errors.Is(err, platform.ErrUnavailable) &&
-		!errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrTooLarge)
+	return err != nil && !errors.Is(err, metastore.ErrUnavailable) &&
+		!errors.Is(err, metastore.ErrConflict) && !errors.Is(err, metastore.ErrTooLarge)
 }
--- a/rollout/submit.go
+++ b/rollout/submit.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // ConflictError: another change was accepted first; nothing of this one is in
@@ -69,7 +69,7 @@
 // The errors: *bundle.SignatureError and bundle.Problems refuse the change,
 // *ConflictError means that another came first, *UnknownError that the outcome
 // is open; any other means that this submit did not move the head.
-func Submit(ctx context.Context, store platform.Store, signers bundle.Signers, change bundle.Change) (Receipt, error) {
+func Submit(ctx context.Context, store metastore.Store, signers bundle.Signers, change bundle.Change) (Receipt, error) {
 	s, err := newSubmitter(store, signers, change)
 	if err != nil {
 		return Receipt{}, err
@@ -78,7 +78,7 @@
 }
 
 type submitter struct {
-	store    platform.Store
+	store    metastore.Store
 	signed   bundle.Signed
 	manifest bundle.Manifest
 	contents bundle.Contents
@@ -96,7 +96,7 @@
 	open bool
 }
 
-func newSubmitter(store platform.Store, signers bundle.Signers, change bundle.Change) (*submitter, error) {
+func newSubmitter(store metastore.Store, signers bundle.Signers, change bundle.Change) (*submitter, error) {
 	manifest, err := signers.Verify(change.Signed)
 	if err != nil {
 		return nil, err
@@ -200,7 +200,7 @@
 		s.open = true
 	}
 	next := s.logic.onWrite(err)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, metastore.ErrConflict) {
 		s.conflicted, s.refusedVersion = true, s.head.version
 		return next, nil // someone moved it: no need to wait before reading
 	}
@@ -236,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
 	defer cancel()
 	_, err := s.store.Put(ctx, key, value, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, metastore.ErrConflict) {
 		return nil
 	}
 	return err
@@ -263,7 +263,7 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
 	defer cancel()
 	signed, err := readManifest(ctx, s.store, s.head, s.ancestor)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) {
 		return stepReadAncestor, errStale // it was written before its successor
 	}
 	if err != nil {
@@ -282,7 +282,7 @@
 
 // retryable errors are outages; all others stay as they are.
 func retryable(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrAmbiguous) ||
+	return errors.Is(err, metastore.ErrUnavailable) || errors.Is(err, metastore.ErrAmbiguous) ||
 		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errStale)
 }
 
@@ -307,7 +307,7 @@
 
 // differencesSince lists what was accepted after the parent. The change's own
 // documents save reading most of the parent's.
-func differencesSince(ctx context.Context, store platform.Store, current acceptedHead, parent bundle.Ref, own bundle.Contents) ([]bundle.Difference, error) {
+func differencesSince(ctx context.Context, store metastore.Store, current acceptedHead, parent bundle.Ref, own bundle.Contents) ([]bundle.Difference, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
 	defer cancel()
 	contents := make(bundle.Contents, len(own))
@@ -341,7 +341,7 @@
 	return bundle.Diff(before, after), nil
 }
 
-func loadDocuments(ctx context.Context, store platform.Store, parts bundle.Parts, contents bundle.Contents) (bundle.Documents, error) {
+func loadDocuments(ctx context.Context, store metastore.Store, parts bundle.Parts, contents bundle.Contents) (bundle.Documents, error) {
 	if err := readDocuments(ctx, store, parts, contents); err != nil {
 		return bundle.Documents{}, err
 	}
--- a/servers.go
+++ b/servers.go
@@ -12,7 +12,7 @@
 	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/place"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
@@ -34,7 +34,7 @@
 
 	events  chan func()
 	listing *catalog.Listing
-	rows    []platform.ListedHost // in force
+	rows    []metastore.ListedHost // in force
 	leaving *leaving.Table
 }
 
@@ -51,7 +51,7 @@
 }
 
 // Servers implements catalog.Sink.
-func (s *servers) Servers(rows []platform.ListedHost) {
+func (s *servers) Servers(rows []metastore.ListedHost) {
 	s.events <- func() {
 		s.rows = s.listing.Read(s.now(), rows)
 		for _, life := range s.leaving.HostList(s.now(), rows) {
--- a/standin/platform_control.go
+++ b/standin/platform_control.go
@@ -3,10 +3,10 @@
 import (
 	"net/http"
 
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
-// PathControlHost adds a host to the host list (POST, a platform.ListedHost) or
+// PathControlHost adds a host to the host list (POST, a metastore.ListedHost) or
 // takes one off (DELETE, with the query parameters kind and name).
 const PathControlHost = "/control/host"
 
@@ -41,7 +41,7 @@
 }
 
 func (p *Platform) serveAddHost(w http.ResponseWriter, r *http.Request) {
-	var host platform.ListedHost
+	var host metastore.ListedHost
 	if err := readControl(r, &host); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -52,6 +52,6 @@
 
 func (p *Platform) serveRemoveHost(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	p.RemoveHost(platform.HostKind(query.Get(platform.ParamKind)), query.Get("name"))
+	p.RemoveHost(metastore.HostKind(query.Get(metastore.ParamKind)), query.Get("name"))
 	writeJSON(w, http.StatusOK, struct{}{})
 }
--- a/testbed/hosts.go
+++ b/testbed/hosts.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 )
 
@@ -38,14 +38,14 @@
 		close(running.done)
 	}()
 	b.hosts = append(b.hosts, running)
-	b.listEntry(host, s, platform.StateLive)
+	b.listEntry(host, s, metastore.StateLive)
 	return running, nil
 }
 
-func (b *Bed) listEntry(host *goldcrestspan.Host, s settings.Settings, state platform.HostState) {
-	b.Platform.AddHost(platform.ListedHost{
+func (b *Bed) listEntry(host *goldcrestspan.Host, s settings.Settings, state metastore.HostState) {
+	b.Platform.AddHost(metastore.ListedHost{
 		Name:        s.Host.Name,
-		Kind:        platform.KindEntry,
+		Kind:        metastore.KindEntry,
 		Address:     host.PeerAddress(),
 		Region:      s.Host.Region,
 		Zone:        s.Host.Zone,
--- a/testbed/testbed.go
+++ b/testbed/testbed.go
@@ -19,7 +19,7 @@
 	"github.com/goldcrestspan/goldcrestspan"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/catalog"
-	"github.com/goldcrestspan/goldcrestspan/platform"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -176,16 +176,16 @@
 		return err
 	}
 	b.Backends = append(b.Backends, standIn)
-	b.List(standIn, platform.StateLive)
+	b.List(standIn, metastore.StateLive)
 	return nil
 }
 
 // List puts a backend server on the host list in a state.
-func (b *Bed) List(standIn *standin.Backend, state platform.HostState) {
+func (b *Bed) List(standIn *standin.Backend, state metastore.HostState) {
 	server := standIn.Server()
-	b.Platform.AddHost(platform.ListedHost{
+	b.Platform.AddHost(metastore.ListedHost{
 		Name:        server.Name,
-		Kind:        platform.KindBackend,
+		Kind:        metastore.KindBackend,
 		Address:     server.Address,
 		Region:      server.Region,
 		Zone:        server.Zone,
