--- a/backend/backend.go
+++ b/backend/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -33,6 +34,8 @@
 	Deadline   time.Time
 	Idempotent bool
 	Body       []byte
+	// Forward is set for a request that is passed on as its caller sent it.
+	Forward *forward.Request
 }
 
 // Load is what a backend server says of itself on a reply. It may lag or
@@ -53,6 +56,8 @@
 	// Held are the snapshots of the call's index that the server holds, newest
 	// first, if it says so.
 	Held []snapshot.Version
+	// Forwarded is the reply to a forwarded request; nil: there is none.
+	Forwarded *forward.Reply
 }
 
 // Fault says why an attempt gave no reply to use.
@@ -81,6 +86,8 @@
 	Outcome result.Outcome
 	Fault   Fault
 	Reply   Reply // set when Fault is FaultNone
+	// KeepFor is how long the server keeps the idle connection; zero: not said.
+	KeepFor time.Duration
 	// RetryAfter is the server's own word on when to come back; zero: none.
 	RetryAfter time.Duration
 }
--- a/backend/client.go
+++ b/backend/client.go
@@ -1,14 +1,11 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +45,7 @@
 	DialTimeout time.Duration
 	// SilenceBound is how long a connection with work may bring no bytes
 	// before the server is asked, on another one, whether it still runs the
-	// call; default 1 s.
+	// call; default 1 s, negative: never.
 	SilenceBound time.Duration
 	// ProbeTimeout bounds that question; default 500 ms.
 	ProbeTimeout time.Duration
@@ -59,6 +56,8 @@
 	FreshFor time.Duration
 	// TLS is for servers that speak TLS; nil: plain text.
 	TLS *tls.Config
+	// Protocol is what the servers speak; nil: the product's own.
+	Protocol Protocol
 }
 
 func (o Options) withDefaults() Options {
@@ -69,6 +68,9 @@
 	orDefault(&o.ProbeTimeout, defaultProbeTimeout)
 	orDefault(&o.IdleFor, defaultIdleFor)
 	orDefault(&o.FreshFor, defaultFreshFor)
+	if o.Protocol == nil {
+		o.Protocol = nativeProtocol{maxReplyBytes: o.MaxReplyBytes}
+	}
 	return o
 }
 
@@ -146,6 +148,7 @@
 	}
 	attempt, reusable := c.exchange(ctx, server, link, call)
 	if reusable && link.http.Err() == nil {
+		link.keepFor = attempt.KeepFor
 		p.put(link, time.Now())
 		return attempt
 	}
@@ -201,12 +204,31 @@
 	before := link.wire.mark()
 	watch := c.watchSilence(ctx, server, link, call)
 	defer watch.stop()
-	response, err := link.http.RoundTrip(c.request(ctx, server, call))
+	request := c.options.Protocol.Request(server, call)
+	request.URL.Scheme = c.scheme
+	request.URL.Host = server.Address
+	response, err := link.http.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return sendFailure(ctx, watch, link.drop() != before), false
 	}
 	defer response.Body.Close()
-	return c.read(ctx, watch, response, call)
+	attempt, reusable, err = c.options.Protocol.Read(response, call)
+	return c.classify(ctx, watch, attempt, err), reusable && err == nil
+}
+
+// classify counts replies that can't be believed, and says why one that is not
+// whole broke off.
+func (c *Client) classify(ctx context.Context, watch *silenceWatch, attempt Attempt, err error) Attempt {
+	switch {
+	case err != nil && (watch.silent.Load() || ctx.Err() != nil):
+		return Attempt{Outcome: result.OutcomeUnknown, Fault: brokenFault(ctx, watch)}
+	case err != nil:
+		c.half.Add(1)
+		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultHalfReply}
+	case attempt.Fault == FaultCrossed:
+		c.crossed.Add(1)
+	}
+	return attempt
 }
 
 // sendFailure classifies a call that got no head of a reply. Only the proof
@@ -239,114 +261,6 @@
 	}
 }
 
-func (c *Client) request(ctx context.Context, server Server, call Call) *http.Request {
-	request := &http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: c.scheme, Host: server.Address, Path: PathRun},
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        make(http.Header, callHeaders),
-		Body:          io.NopCloser(bytes.NewReader(call.Body)),
-		ContentLength: int64(len(call.Body)),
-		Host:          server.Address,
-	}
-	if len(call.Body) == 0 {
-		request.Body = http.NoBody
-	}
-	SetCallHeaders(request.Header, call, time.Until(call.Deadline))
-	return request.WithContext(ctx)
-}
-
-// read checks a reply from its head to its last byte.
-func (c *Client) read(ctx context.Context, watch *silenceWatch, response *http.Response, call Call) (Attempt, bool) {
-	if !echoed(response.Header, call) {
-		c.crossed.Add(1)
-		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultCrossed}, false
-	}
-	switch response.StatusCode {
-	case http.StatusOK:
-		return c.readAnswer(ctx, watch, response, call)
-	case statusRefusedNotRun:
-		return readRefusal(response)
-	case statusServerFailed:
-		return Attempt{Outcome: result.OutcomeRan, Fault: FaultServer, Reply: replyHead(response)}, discard(response)
-	default:
-		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultBroken}, false
-	}
-}
-
-// readRefusal believes a 503 only with the server's explicit word. A bare 503
-// may come from something between the two ends after the work was passed on.
-func readRefusal(response *http.Response) (Attempt, bool) {
-	reason := NotRunReason(response.Header.Get(HeaderNotRun))
-	fault, known := notRunFaults[reason]
-	if !known {
-		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultBroken}, false
-	}
-	wait, _ := strconv.ParseInt(response.Header.Get(HeaderRetryAfterNs), 10, 64)
-	return Attempt{
-		Outcome:    result.OutcomeRefused,
-		Fault:      fault,
-		Reply:      replyHead(response),
-		RetryAfter: max(0, time.Duration(wait)),
-	}, discard(response)
-}
-
-// discard reads a short body, which frees the connection for the next call.
-func discard(response *http.Response) bool {
-	_, err := io.CopyN(io.Discard, response.Body, discardedRefusalBody)
-	return errors.Is(err, io.EOF)
-}
-
-func replyHead(response *http.Response) Reply {
-	incarnation, _ := strconv.ParseUint(response.Header.Get(HeaderIncarnation), 10, 64)
-	return Reply{
-		Load:        readLoad(response.Header),
-		Incarnation: incarnation,
-		Held:        readVersions(response.Header.Get(HeaderHeld)),
-	}
-}
-
-// readAnswer takes a body only if its length, its digest and its snapshot are
-// the ones announced and asked for: a connection that breaks half-way would
-// otherwise pass off half an answer as a whole one.
-func (c *Client) readAnswer(ctx context.Context, watch *silenceWatch, response *http.Response, call Call) (Attempt, bool) {
-	body, err := readWhole(response, c.options.MaxReplyBytes)
-	if err != nil && (watch.silent.Load() || ctx.Err() != nil) {
-		return Attempt{Outcome: result.OutcomeUnknown, Fault: brokenFault(ctx, watch)}, false
-	}
-	if err != nil || response.Header.Get(HeaderDigest) != Digest(body) {
-		c.half.Add(1)
-		return Attempt{Outcome: result.OutcomeUnknown, Fault: FaultHalfReply}, false
-	}
-	reply := replyHead(response)
-	reply.Body = body
-	answered, err := strconv.ParseUint(response.Header.Get(HeaderSnapshot), 10, 64)
-	if err != nil || answered != uint64(call.Snapshot) {
-		return Attempt{Outcome: result.OutcomeRan, Fault: FaultSnapshotMismatch, Reply: Reply{Load: reply.Load, Incarnation: reply.Incarnation}}, true
-	}
-	reply.Snapshot = call.Snapshot
-	return Attempt{Outcome: result.OutcomeRan, Fault: FaultNone, Reply: reply}, true
-}
-
-// readWhole reads a body of the announced length, and its end, which frees the
-// connection for the next call.
-func readWhole(response *http.Response, limit int64) ([]byte, error) {
-	if response.ContentLength < 0 || response.ContentLength > limit {
-		return nil, errors.Errorf("length %d is unknown or over the limit", response.ContentLength)
-	}
-	body := make([]byte, response.ContentLength)
-	if _, err := io.ReadFull(response.Body, body); err != nil {
-		return nil, err
-	}
-	var end [1]byte
-	if _, err := response.Body.Read(end[:]); err != io.EOF {
-		return nil, errors.New("the body is longer than announced")
-	}
-	return body, nil
-}
-
 // Health asks the server for its load, state and snapshots, on a connection of
 // its own.
 func (c *Client) Health(ctx context.Context, server Server) (Health, error) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -17,8 +17,26 @@
 	http      *http.ClientConn
 	wire      *wireConn
 	idleSince time.Time
+	keepFor   time.Duration // the server's word on idle connections; 0: none
 }
 
+// stale reports whether the connection was idle for longer than a call of that
+// freshness may find it, or than the server keeps it.
+//
+// Failure: a server closes an idle connection while a call is on its way; the
+// call ends as unknown though it never ran. The guard holds because the last
+// part of the time that the server states is left unused.
+func (c *conn) stale(now time.Time, fresh time.Duration) bool {
+	if c.keepFor > 0 {
+		fresh = min(fresh, c.keepFor-keepReserve)
+	}
+	return now.Sub(c.idleSince) > fresh
+}
+
+// keepReserve is the part of a stated idle time that is left unused: a round
+// trip between regions and the lateness of a busy host's timers.
+const keepReserve = 400 * time.Millisecond
+
 // drop closes the connection at once and reports how many writes it began.
 func (c *conn) drop() uint64 {
 	writes := c.wire.stop()
@@ -64,7 +82,7 @@
 		last := len(p.idle) - 1
 		c := p.idle[last]
 		alive := c.http.Err() == nil
-		if alive && now.Sub(c.idleSince) > fresh {
+		if alive && c.stale(now, fresh) {
 			return nil // the others are older still
 		}
 		p.idle = p.idle[:last]
--- a/backend/silence.go
+++ b/backend/silence.go
@@ -35,7 +35,7 @@
 // then the deadline drops the connection, and the common short call pays no timer.
 func (c *Client) watchSilence(ctx context.Context, server Server, link *conn, call Call) *silenceWatch {
 	w := &silenceWatch{client: c, ctx: ctx, server: server, link: link, call: call}
-	if time.Until(call.Deadline) > c.options.SilenceBound {
+	if c.options.SilenceBound > 0 && time.Until(call.Deadline) > c.options.SilenceBound {
 		w.arm(c.options.SilenceBound)
 	}
 	return w
--- a/backend/wire_conn.go
+++ b/backend/wire_conn.go
@@ -76,7 +76,8 @@
 // dialWire dials and leaves the wireConn in the holder that ctx carries: the
 // transport hides the connection under its own type.
 func dialWire(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -87,3 +88,13 @@
 	}
 	return c, nil
 }
+
+// keepAlive finds idle connections that went silent: nothing comes back on
+// them, not even a reset, and the next call would end as unknown. Three probes
+// in 2.5 s leave room for one lost packet.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     time.Second,
+	Interval: 500 * time.Millisecond,
+	Count:    3,
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -202,7 +202,7 @@
 	}
 	read, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	objects, err := a.config.Store.List(read, SnapshotPrefix)
+	objects, _, err := a.config.Store.List(read, SnapshotPrefix)
 	a.note(err)
 	if err != nil {
 		return after, err
--- a/cli/root.go
+++ b/cli/root.go
@@ -2,7 +2,11 @@
 // only read arguments and print; the work is done by the library.
 package cli
 
-import "github.com/spf13/cobra"
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestspan/goldcrestspan/platform"
+)
 
 // NewRoot makes the goldcrestspan command with all its subcommands.
 func NewRoot() *cobra.Command {
@@ -13,6 +17,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newServeCommand())
+	root.AddCommand(platform.NewCommand())
 	root.AddCommand(newDemoCommand())
 	root.AddCommand(newQueryCommand())
 	root.AddCommand(newBookCommand())
--- /dev/null
+++ b/discover/mirror.go
@@ -0,0 +1,141 @@
+// Package discover follows what others write to the metadata store: the
+// operator's configuration and the backend servers' entries. A Mirror is the
+// state as this host believes it, a Follower keeps it up to date.
+package discover
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+)
+
+// returnGrace is how long after the store is heard again a missing entry is
+// still believed: servers whose leases lapsed while the store was away write
+// their entries anew within 2 s of its return.
+const returnGrace = 2500 * time.Millisecond
+
+// Mirror holds the objects below one prefix. It is pure and not safe for
+// concurrent use.
+type Mirror struct {
+	objects map[string]metastore.Object
+	// removing holds when a missing object is dropped.
+	removing map[string]time.Time
+	lost     bool
+	// doubtUntil: removals before it are held back until then.
+	doubtUntil time.Time
+}
+
+// NewMirror makes an empty mirror.
+func NewMirror() *Mirror {
+	return &Mirror{objects: make(map[string]metastore.Object), removing: make(map[string]time.Time)}
+}
+
+// Lost notes that the store can't be heard.
+//
+// Failure: the store is away for seconds, every server's lease lapses, and with
+// its return the first list is empty: all requests would be refused until the
+// servers have written again. The guard holds because a removal that is heard
+// within returnGrace of the return takes effect at its end, unless the entry
+// comes back; what has really gone is then dropped.
+func (m *Mirror) Lost() { m.lost = true }
+
+func (m *Mirror) heard(now time.Time) {
+	if m.lost {
+		m.lost = false
+		m.doubtUntil = now.Add(returnGrace)
+	}
+}
+
+// Replace takes in a whole list and reports whether anything changed.
+func (m *Mirror) Replace(now time.Time, listed []metastore.Object) bool {
+	m.heard(now)
+	changed := false
+	present := make(map[string]bool, len(listed))
+	for _, object := range listed {
+		present[object.Key] = true
+		changed = m.set(object) || changed
+	}
+	for key := range m.objects {
+		if !present[key] {
+			changed = m.remove(now, key) || changed
+		}
+	}
+	return changed
+}
+
+// Change takes in changed objects and reports whether anything changed.
+func (m *Mirror) Change(now time.Time, objects []metastore.Object) bool {
+	m.heard(now)
+	changed := false
+	for _, object := range objects {
+		if object.Version == 0 {
+			changed = m.remove(now, object.Key) || changed
+			continue
+		}
+		changed = m.set(object) || changed
+	}
+	return changed
+}
+
+// set takes one object in. An older revision than the one held is left: a reply
+// that was long on its way must not bring an old configuration back.
+func (m *Mirror) set(object metastore.Object) bool {
+	delete(m.removing, object.Key)
+	held, known := m.objects[object.Key]
+	if known && object.Revision <= held.Revision {
+		return false
+	}
+	m.objects[object.Key] = object
+	return true
+}
+
+func (m *Mirror) remove(now time.Time, key string) bool {
+	if _, known := m.objects[key]; !known {
+		return false
+	}
+	if now.Before(m.doubtUntil) {
+		if _, waits := m.removing[key]; !waits {
+			m.removing[key] = m.doubtUntil
+		}
+		return false
+	}
+	delete(m.removing, key)
+	delete(m.objects, key)
+	return true
+}
+
+// Tick drops what was held back for long enough and reports whether it did.
+func (m *Mirror) Tick(now time.Time) bool {
+	changed := false
+	for key, at := range m.removing {
+		if !now.Before(at) {
+			delete(m.removing, key)
+			delete(m.objects, key)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// NextTick is when Tick is due; zero: not at all.
+func (m *Mirror) NextTick() time.Time {
+	var next time.Time
+	for _, at := range m.removing {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// Objects lists what is believed, by key.
+func (m *Mirror) Objects() []metastore.Object {
+	list := make([]metastore.Object, 0, len(m.objects))
+	for _, object := range m.objects {
+		list = append(list, object)
+	}
+	slices.SortFunc(list, func(a, b metastore.Object) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
--- /dev/null
+++ b/discover/mirror_test.go
@@ -0,0 +1,62 @@
+package discover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+)
+
+func object(key string, revision uint64) metastore.Object {
+	return metastore.Object{Key: key, Version: revision, Revision: revision}
+}
+
+func keys(m *Mirror) (names []string) {
+	for _, o := range m.Objects() {
+		names = append(names, o.Key)
+	}
+	return names
+}
+
+// Callers are refused for two seconds each time the store comes back: the
+// servers' leases lapsed while it was away, the first list is empty, and the
+// host believes that every server has gone.
+func TestServersThatLapsedDuringAnOutageAreKeptForAMoment(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	m := NewMirror()
+	m.Replace(now, []metastore.Object{object("a", 1), object("b", 2)})
+	m.Lost()
+	now = now.Add(5 * time.Second)
+	is.True(!m.Replace(now, nil)) // nothing is dropped yet
+	is.Equal(keys(m), []string{"a", "b"})
+	m.Change(now.Add(time.Second), []metastore.Object{object("a", 9)})
+	is.True(!m.Tick(now.Add(returnGrace - 1)))
+	is.True(m.Tick(m.NextTick()))
+	is.Equal(keys(m), []string{"a"}) // b never came back
+}
+
+// A server's entry is removed while the store is well: it has left, and the
+// next request must not go there.
+func TestRemovalCountsAtOnceWhileTheStoreIsWell(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	m := NewMirror()
+	m.Replace(now, []metastore.Object{object("a", 1)})
+	is.True(m.Change(now, []metastore.Object{{Key: "a"}}))
+	is.Equal(len(m.Objects()), 0)
+}
+
+// A reply that was long on its way carries the configuration before the one in
+// force; it must not come back.
+func TestAnOlderRevisionNeverComesBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	m := NewMirror()
+	m.Replace(now, []metastore.Object{object("config", 7)})
+	is.True(!m.Change(now, []metastore.Object{object("config", 5)}))
+	is.True(!m.Replace(now, []metastore.Object{object("config", 6)}))
+	is.Equal(m.Objects()[0].Revision, uint64(7))
+}
--- /dev/null
+++ b/entry/carriers.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/goldcrestspan/goldcrestspan/member"
+)
+
+const (
+	// busyShare is the mean load of the advised hosts, as a share, above which
+	// one more is advised: a host that is half busy still takes the callers of
+	// another one that is lost.
+	busyShare = 0.5
+	// leastCarriers are advised however small the load: when one is lost its
+	// callers have another to go to before they ask again.
+	leastCarriers = 2
+	// nearShare: a zone counts as one of the backend servers' if it holds at
+	// least this share of those of the fullest zone.
+	nearShare = 0.5
+)
+
+// Carriers chooses the few hosts that carry the callers' requests; all others
+// stand by. serversIn counts the backend servers of each availability zone.
+//
+// Load: a fleet whose requests each go to 20 to 92 services of a few slots.
+// Harm prevented: each host sees a fraction of a service's load, so all
+// choose blindly and collide; a connection is used once a second and costs the
+// server a handshake each time; and hosts far from the servers send every part
+// of an answer across zones. With few hosts each knows nearly all that runs at
+// a server. Reasons for the limits: one host at least in each zone that holds
+// servers, two in all, and more as those get busy. Hosts that have served for
+// longest are taken first, so that a restart moves no callers but its own.
+func Carriers(view *member.View, serversIn map[string]int) []member.Host {
+	zones := nearZones(serversIn)
+	byZone := make(map[string][]member.Host)
+	var spare []member.Host
+	for _, host := range view.Hosts {
+		switch {
+		case !host.Serving():
+		case slices.Contains(zones, host.Zone):
+			byZone[host.Zone] = append(byZone[host.Zone], host)
+		default:
+			spare = append(spare, host)
+		}
+	}
+	var chosen, rest []member.Host
+	for _, zone := range zones {
+		hosts := byZone[zone]
+		slices.SortFunc(hosts, steadiest)
+		if len(hosts) > 0 {
+			chosen = append(chosen, hosts[0])
+			rest = append(rest, hosts[1:]...)
+		}
+	}
+	slices.SortFunc(rest, steadiest)
+	slices.SortFunc(spare, steadiest)
+	rest = append(rest, spare...)
+	more := min(max(wanted(chosen)-len(chosen), 0), len(rest))
+	return append(chosen, rest[:more]...)
+}
+
+// nearZones are the zones that hold many backend servers, fullest first.
+func nearZones(serversIn map[string]int) []string {
+	most := 0
+	for _, n := range serversIn {
+		most = max(most, n)
+	}
+	var zones []string
+	for zone, n := range serversIn {
+		if float64(n) >= nearShare*float64(most) {
+			zones = append(zones, zone)
+		}
+	}
+	slices.SortFunc(zones, func(a, b string) int {
+		return cmp.Or(cmp.Compare(serversIn[b], serversIn[a]), cmp.Compare(a, b))
+	})
+	return zones
+}
+
+// steadiest orders hosts that are not suspected first, then by age.
+func steadiest(a, b member.Host) int {
+	return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+}
+
+// wanted is how many hosts carry the load of the chosen ones at busyShare.
+func wanted(chosen []member.Host) int {
+	load := 0.0
+	for _, host := range chosen {
+		load += float64(host.LoadPermille) / 1000
+	}
+	return max(leastCarriers, int(load/busyShare+1))
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,50 @@
+// Package forward holds a request that is passed on to a backend server as its
+// caller sent it, and the server's reply to it. Nothing in between reads the
+// body or rewrites the target.
+package forward
+
+import "net/http"
+
+// Request is a caller's request as it goes to a backend server.
+type Request struct {
+	// Attempt is the caller's id of this sending. Backend servers echo it.
+	Attempt string
+	Method  string
+	// Target is the path and query, byte for byte as the caller sent them.
+	Target string
+	Host   string
+	// Header holds the end-to-end headers; it is shared by all attempts and
+	// must not be changed.
+	Header http.Header
+}
+
+// Reply is a backend server's whole reply.
+type Reply struct {
+	Status int
+	// Header holds the end-to-end headers to pass back.
+	Header http.Header
+	Body   []byte
+	// Signature is the server's mark on the reply; empty if it gave none.
+	Signature string
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd copies the headers without those that concern one connection only,
+// including those that the Connection header names.
+func EndToEnd(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, value := range header.Values("Connection") {
+		for _, name := range splitNames(value) {
+			kept.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/gateway/config.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+const (
+	// hedgeQuantile of the service time, past which a part of an answer is
+	// asked for a second time. With the budget below, hedges at this quantile
+	// are paid for without running dry.
+	hedgeQuantile = 0.92
+	// hedgePart and retryPart are the parts of the budget of extra arrivals
+	// that hedges and retries may use; the rest is headroom for hosts that
+	// count the requests of a service differently.
+	hedgePart = 0.6
+	retryPart = 0.25
+	// zoneCost is what a hop to a server in another availability zone counts
+	// for, in seconds of finish time: the way itself is a millisecond, the rest
+	// keeps the bytes, which the users pay for, within the zone while the near
+	// server has room.
+	zoneCost = 0.006
+	// defaultSlots stands in for a server that does not say what it serves at once.
+	defaultSlots = 2
+	// maxQueue bounds the waiting parts of one class at one service: a second
+	// of the work of two servers with two slots at 10 ms.
+	maxQueue = 400
+)
+
+// Budget bounds the arrivals at a service beyond the first of each request,
+// summed over all hosts in any window of its length.
+type Budget struct {
+	Ratio  float64 // of the requests for the service
+	Slack  float64 // arrivals, whatever the load
+	Window time.Duration
+}
+
+// configuration is one version in the form that requests are served from. It
+// is immutable.
+type configuration struct {
+	revision uint64 // of the store
+	value    []byte // as stored, for peers
+	table    *route.Table
+	homes    *bundle.Config
+	shards   map[*route.Route]*snapshot.Snapshot
+	single   map[string]*snapshot.Snapshot // by service, for plain routes
+}
+
+func newConfiguration(revision uint64, value []byte, config *route.Config) (*configuration, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	homes, err := bundle.Compile(config.Version, documents(config))
+	if err != nil {
+		return nil, err
+	}
+	c := &configuration{
+		revision: revision,
+		value:    value,
+		table:    route.NewTable(config),
+		homes:    homes,
+		shards:   make(map[*route.Route]*snapshot.Snapshot),
+		single:   make(map[string]*snapshot.Snapshot),
+	}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		if r.AsksAll() {
+			c.shards[r] = newSnapshot(config.Version, r.Shards)
+		}
+		for _, share := range r.Shares {
+			c.single[share.Service] = newSnapshot(config.Version, []string{share.Service})
+		}
+	}
+	return c, nil
+}
+
+// newSnapshot numbers the services as the shards of one version.
+func newSnapshot(version uint64, services []string) *snapshot.Snapshot {
+	s := &snapshot.Snapshot{Version: snapshot.Version(version)}
+	for i, service := range services {
+		s.Shards = append(s.Shards, snapshot.Shard{ID: snapshot.ShardID(i), Service: service})
+	}
+	return s
+}
+
+// documents puts the operator's routes and services into the classes and
+// services that the homes know.
+func documents(config *route.Config) bundle.Documents {
+	var docs bundle.Documents
+	seen := make(map[string]bool)
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		if name := className(r); !seen[name] {
+			seen[name] = true
+			docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueue})
+		}
+	}
+	for _, service := range config.Services {
+		docs.Services = append(docs.Services, bundle.Service{
+			Name: service.Name, SlotsPerServer: defaultSlots, ConnectionsPerServer: service.Connections,
+		})
+	}
+	docs.Policy.HedgeQuantile = hedgeQuantile
+	return docs
+}
+
+// className puts routes with the same limits into one class: their requests
+// are alike, and hundreds of routes share a few classes.
+func className(r *route.Route) string {
+	return fmt.Sprintf("p%d-%v-%v", r.Priority, r.Target, r.Timeout)
+}
+
+// tune shares the budget of extra arrivals out: each host earns its own
+// requests' part, and the slack is divided by the hosts that may be advised at
+// once while their views differ.
+func (b Budget) tune(hosts int) func(*home.Config) {
+	slack := b.Slack / float64(max(hosts, 1))
+	return func(config *home.Config) {
+		config.HedgeBudget = hedgePart * b.Ratio
+		config.RetryBudget = retryPart * b.Ratio
+		config.HedgeBurst = max(1, hedgePart*slack)
+		config.RetryBurst = max(1, retryPart*slack)
+		config.ChargeRefusals = true
+		config.ZoneCost = zoneCost
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,253 @@
+// Package gateway runs an entry host whose routes and backend servers stand in
+// the metadata store: it passes callers' requests on as they came, to one
+// backend server or to one of each shard, and merges the shards' parts.
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/discover"
+	"github.com/goldcrestspan/goldcrestspan/drain"
+	"github.com/goldcrestspan/goldcrestspan/homeserver"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/peer"
+	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+// Decoder reads the values of the store.
+type Decoder interface {
+	Config(object metastore.Object) (*route.Config, error)
+	Server(object metastore.Object) (ServerEntry, error)
+}
+
+// Options are what a Gateway needs. All must be set.
+type Options struct {
+	Name   string // of this host
+	Region string
+	Zone   string // availability zone
+	// CallerAddress is where callers reach this host, IP and port.
+	CallerAddress string
+	// Peers is the listener of the other hosts' calls.
+	Peers net.Listener
+	// Seeds are addresses of peers to begin with, IP and port; some may be down.
+	Seeds []string
+	// ConfigKey, ServersPrefix and HostsPrefix are where the operator's
+	// configuration, the backend servers' entries and the hosts' own stand.
+	ConfigKey, ServersPrefix, HostsPrefix string
+	// Budget bounds extra arrivals at a service.
+	Budget Budget
+	// StopWithin bounds a planned stop.
+	StopWithin time.Duration
+	// Processor is the share of a core that this host has.
+	Processor float64
+
+	Store    metastore.Store
+	Backends backend.Runner
+	Decode   Decoder
+	Logger   *zap.Logger
+	Registry *prometheus.Registry
+	Now      func() time.Time
+}
+
+const (
+	// AdviceKeep is how long callers may keep advice. Some keep it three times
+	// as long. The shorter it is, the sooner callers leave a lost host; asking
+	// costs a host some 50 us.
+	AdviceKeep = time.Second
+	// keepFactor is how much longer some callers keep advice.
+	keepFactor = 3
+	// cutOffAfter is how long a host that hears neither the store nor a peer
+	// serves on: longer than a watch waits, so that a quiet store is not
+	// mistaken for a lost one.
+	cutOffAfter = 9 * time.Second
+)
+
+// Gateway is one entry host.
+type Gateway struct {
+	options     Options
+	log         *zap.Logger
+	metrics     *metrics
+	members     *member.Agent
+	homes       *homeserver.Server
+	coordinator *scatter.Coordinator
+	relay       *discover.Relay
+	configs     *discover.Follower
+	servers     *discover.Follower
+	pool        *peer.Pool
+	peers       *peer.Server
+
+	inForce  atomic.Pointer[configuration]
+	zones    atomic.Pointer[map[string]int] // backend servers by zone
+	stop     atomic.Pointer[drain.Stop]
+	inFlight atomic.Int64
+	events   chan func() // for the control loop
+
+	// owned by the servers' follower
+	serverStates map[string]ServerEntry
+}
+
+// New makes a gateway; Run starts it.
+func New(options Options) (*Gateway, error) {
+	g := &Gateway{
+		options:      options,
+		log:          options.Logger,
+		events:       make(chan func(), eventQueue),
+		serverStates: make(map[string]ServerEntry),
+	}
+	if err := g.build(); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// eventQueue holds events that wait for the control loop.
+const eventQueue = 64
+
+// Ready reports whether callers should be sent here: the configuration and the
+// servers are known, and no stop was asked for.
+func (g *Gateway) Ready() bool {
+	return g.inForce.Load() != nil && g.servers.Listed() && !g.Stopping() && !g.cutOff()
+}
+
+// Stopping reports whether a planned stop has begun.
+func (g *Gateway) Stopping() bool { return g.stop.Load() != nil }
+
+// Limits are the configured bounds on what callers send.
+func (g *Gateway) Limits() route.Limits {
+	if c := g.inForce.Load(); c != nil {
+		return c.table.Config.Limits
+	}
+	return route.Limits{}
+}
+
+// cutOff reports whether this host has heard neither the store nor a peer for
+// so long that its configuration may be out of date.
+func (g *Gateway) cutOff() bool {
+	heard := g.configs.HeardAt()
+	if at := g.servers.HeardAt(); at.After(heard) {
+		heard = at
+	}
+	return g.members.CutOff(g.options.Now(), heard, cutOffAfter)
+}
+
+// Run serves peers and follows the store until ctx ends, then makes a planned
+// stop and returns when nothing is in flight or the stop's limit has passed.
+func (g *Gateway) Run(ctx context.Context) error {
+	live, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, live := errgroup.WithContext(live)
+	run := func(name string, f func(context.Context) error) {
+		group.Go(func() error { return errors.Wrap(f(live), name) })
+	}
+	run("control", g.control)
+	run("members", g.members.Run)
+	run("peers", func(ctx context.Context) error { return g.peers.Serve(ctx, g.options.Peers) })
+	run("configuration", g.configs.Run)
+	run("servers", g.servers.Run)
+	run("registration", g.register)
+	run("load", g.measureLoad)
+	run("stop", func(live context.Context) error {
+		select {
+		case <-ctx.Done():
+			g.plannedStop(live)
+		case <-live.Done():
+		}
+		end()
+		return nil
+	})
+	return group.Wait()
+}
+
+// control is the one goroutine that changes what is in force.
+func (g *Gateway) control(ctx context.Context) error {
+	for {
+		select {
+		case event := <-g.events:
+			event()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// post hands an event to the control loop.
+func (g *Gateway) post(event func()) { g.events <- event }
+
+// applyConfig puts a configuration from the store or a peer in force, unless a
+// newer one is.
+//
+// Failure: a reply that was long on its way, or a peer that is behind, brings
+// the configuration before the present one; routes that are gone come back.
+// The guard holds because the store's revision of the object only rises, and
+// every way in passes here.
+func (g *Gateway) applyConfig(object metastore.Object, source string) {
+	before := g.inForce.Load()
+	if before != nil && object.Revision <= before.revision {
+		return
+	}
+	config, err := g.options.Decode.Config(object)
+	if err != nil {
+		g.log.Error("configuration can't be read, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), zap.Error(err))
+		return
+	}
+	next, err := newConfiguration(object.Revision, object.Value, config)
+	if err != nil {
+		g.log.Error("configuration is not valid, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), zap.Error(err))
+		return
+	}
+	g.inForce.Store(next)
+	g.homes.Refresh()
+	g.relay.Offer(object)
+	g.members.AnnounceConfig(object.Revision, nil)
+	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
+		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+}
+
+// configNews hears that a peer has a newer configuration.
+func (g *Gateway) configNews(news member.ConfigNews) {
+	g.configs.Again()
+	above := uint64(0)
+	if c := g.inForce.Load(); c != nil {
+		above = c.revision
+	}
+	if news.Generation <= above {
+		return
+	}
+	go func() {
+		object, err := g.relay.Ask(context.Background(), news.FromAddress, above)
+		switch {
+		case errors.Is(err, discover.ErrAsking) || errors.Is(err, discover.ErrNothingNewer):
+		case err != nil:
+			g.log.Warn("a peer did not give its configuration", zap.String("peer", string(news.From)), zap.Uint64("revision", news.Generation), zap.Error(err))
+		default:
+			object.Key = g.options.ConfigKey
+			g.post(func() { g.applyConfig(object, "peer "+string(news.From)) })
+		}
+	}()
+}
+
+func (g *Gateway) homesConfig() *bundle.Config {
+	if c := g.inForce.Load(); c != nil {
+		return c.homes
+	}
+	return nil
+}
+
+// localHomes makes this host the home of every service.
+type localHomes struct {
+	self  ident.HostID
+	local *homeserver.Server
+}
--- /dev/null
+++ b/gateway/logs.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"go.uber.org/zap/zapcore"
+
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+// mostMissing bounds the missing shards in one log line.
+const mostMissing = 4
+
+// missingList writes the shards that an answer lacks, and why.
+type missingList []scatter.Missing
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l missingList) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, m := range l[:min(len(l), mostMissing)] {
+		if err := enc.AppendObject(missingShard(m)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type missingShard scatter.Missing
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (m missingShard) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("service", m.Service)
+	enc.AddString("code", m.Code.String())
+	enc.AddString("detail", m.Detail)
+	return nil
+}
--- /dev/null
+++ b/gateway/parts.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/discover"
+	"github.com/goldcrestspan/goldcrestspan/homeserver"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
+	"github.com/goldcrestspan/goldcrestspan/peer"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// hostsSharing is by how many hosts the slack of the budget is divided: those
+// that are advised, and those whose callers keep older advice.
+const hostsSharing = 4
+
+// built are the parts that the container makes.
+type built struct {
+	dig.In
+
+	Metrics     *metrics
+	Members     *member.Agent
+	Homes       *homeserver.Server
+	Coordinator *scatter.Coordinator
+	Relay       *discover.Relay
+	Pool        *peer.Pool
+	Peers       *peer.Server
+}
+
+// build wires the parts in one place; the container orders the constructors.
+func (g *Gateway) build() error {
+	container := dig.New()
+	for _, constructor := range []any{
+		func() *zap.Logger { return g.options.Logger },
+		func() *prometheus.Registry { return g.options.Registry },
+		func(r *prometheus.Registry) (*observe.Metrics, error) { return observe.NewMetrics(r) },
+		newMetrics,
+		func() *peer.Pool { return peer.NewPool(nil) },
+		peer.NewServer,
+		discover.NewRelay,
+		g.newMembers,
+		g.newHomes,
+		g.newCoordinator,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return err
+		}
+	}
+	err := container.Invoke(func(b built) {
+		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
+		g.coordinator, g.relay = b.Coordinator, b.Relay
+		g.pool, g.peers = b.Pool, b.Peers
+	})
+	if err != nil {
+		return err
+	}
+	if err := g.members.Register(g.peers.Mux()); err != nil {
+		return err
+	}
+	if err := g.relay.Register(g.peers.Mux()); err != nil {
+		return err
+	}
+	g.configs = g.newFollower(g.options.ConfigKey, g.applyConfigs)
+	g.servers = g.newFollower(g.options.ServersPrefix, g.applyServers)
+	return nil
+}
+
+func (g *Gateway) newMembers(pool *peer.Pool, registry *prometheus.Registry) *member.Agent {
+	return member.NewAgent(member.AgentConfig{
+		Membership: member.Config{
+			Self: member.Host{
+				ID:            ident.HostID(g.options.Name),
+				Incarnation:   ident.NewIncarnation(g.options.Now()),
+				PeerAddress:   g.options.Peers.Addr().String(),
+				CallerAddress: g.options.CallerAddress,
+				Region:        g.options.Region,
+				Zone:          g.options.Zone,
+			},
+			Seeds: g.options.Seeds,
+		},
+		Pool:         pool,
+		Now:          g.options.Now,
+		Logger:       g.log,
+		Registerer:   registry,
+		OnConfigNews: g.configNews,
+	})
+}
+
+func (g *Gateway) newHomes(counters *observe.Metrics) *homeserver.Server {
+	homes := homeserver.New(g.options.Backends, counters, trusting{}, g.options.Now, g.homesConfig)
+	homes.SetTune(g.options.Budget.tune(hostsSharing))
+	return homes
+}
+
+func (g *Gateway) newCoordinator(homes *homeserver.Server, counters *observe.Metrics) *scatter.Coordinator {
+	local := localHomes{self: ident.HostID(g.options.Name), local: homes}
+	return scatter.NewCoordinator(local, counters, g.options.Now, func(string, string, []snapshot.Version) {})
+}
+
+func (g *Gateway) newFollower(prefix string, apply func([]metastore.Object)) *discover.Follower {
+	return discover.NewFollower(discover.Config{
+		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
+	})
+}
+
+func (g *Gateway) applyConfigs(objects []metastore.Object) {
+	for _, object := range objects {
+		if object.Key == g.options.ConfigKey {
+			g.post(func() { g.applyConfig(object, "store") })
+		}
+	}
+}
+
+// Of implements scatter.Homes.
+func (h localHomes) Of(string) (first, second ident.HostID) { return h.self, "" }
+
+// Runner implements scatter.Homes.
+func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
+
+// trusting is a homeserver.Watcher that suspects no request.
+type trusting struct{}
+
+func (trusting) Started(ident.AttemptID, backend.Server, uint64) {}
+
+func (trusting) Ended(ident.AttemptID, backend.Server, uint64, backend.Attempt) bool { return false }
+
+func (trusting) Refuse(leg.Request) *result.Error { return nil }
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/drain"
+	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+const (
+	// recordSize is the size of one record in a shard's part, in bytes.
+	recordSize = 16
+	// maxInFlight bounds the requests in flight: at some 40 KB each, with the
+	// connections of their parts, they stay within half of a small host's memory.
+	maxInFlight = 2048
+	// elsewhereAfter is when a caller may come back to another host.
+	elsewhereAfter = 50 * time.Millisecond
+	// notReadyAfter is when a caller may come back to a host that is starting.
+	notReadyAfter = 300 * time.Millisecond
+)
+
+// Query is one request of a caller.
+type Query struct {
+	Arrived time.Time
+	// Budget is how long the caller waits; 0: as long as the route allows.
+	Budget time.Duration
+	// Path is the path without the query.
+	Path    string
+	Forward *forward.Request
+	Body    []byte
+}
+
+// Answer is the one answer to a Query.
+type Answer struct {
+	Code   result.Code
+	Detail string
+	// Reply is the backend server's, of a plain route; also one that says that
+	// the request failed. Nil: the answer is this host's own.
+	Reply *forward.Reply
+	// Merged is set for an answer from shards.
+	Merged *Merged
+	// RetryAfter is when a request that has not run may be sent again.
+	RetryAfter time.Duration
+}
+
+// Merged is an answer from several shards.
+type Merged struct {
+	Records    []byte   // the greatest, falling
+	Signatures []string // of the parts that are in it
+	Missing    int      // shards that are not
+}
+
+func refused(code result.Code, detail string, after time.Duration) *Answer {
+	return &Answer{Code: code, Detail: detail, RetryAfter: after}
+}
+
+// Serve answers one request. It returns early when ctx ends, which says that
+// the caller has gone.
+func (g *Gateway) Serve(ctx context.Context, q Query) *Answer {
+	inFlight := g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	c := g.inForce.Load()
+	if refusal := g.refuse(c, inFlight); refusal != nil {
+		g.logRefusal(q, c, refusal)
+		return refusal
+	}
+	r, service, ok := c.table.Match(q.Forward.Host, q.Path)
+	if !ok {
+		answer := refused(result.RouteNotAllowed, "no route for this host and path", 0)
+		g.logRefusal(q, c, answer)
+		return answer
+	}
+	return g.run(ctx, c, r, service, q)
+}
+
+// refuse decides at the door whether a request is taken in.
+//
+// Load: a host that starts, stops, is cut off, or has more in flight than its
+// memory holds. Harm prevented: the request waits for what can't come, or is
+// answered by an old configuration. Nothing has run, and another host may serve.
+func (g *Gateway) refuse(c *configuration, inFlight int64) *Answer {
+	switch {
+	case c == nil || !g.servers.Listed():
+		return refused(result.NotReady, "no configuration yet", notReadyAfter)
+	case g.phase() >= drain.PhaseRefusing:
+		return refused(result.Draining, "this host is stopping", elsewhereAfter)
+	case g.cutOff():
+		return refused(result.CutOff, "neither the store nor a peer is heard", elsewhereAfter)
+	case inFlight > maxInFlight:
+		return refused(result.Overloaded, "too many requests in flight", notReadyAfter)
+	default:
+		return nil
+	}
+}
+
+func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
+	answer := g.coordinator.Run(ctx, g.work(c, r, service, q))
+	out := g.encode(r, answer)
+	took := g.options.Now().Sub(q.Arrived)
+	class := className(r)
+	g.metrics.request(r.Host, class, answer.Code, took)
+	g.metrics.coverage(r.Host, class, len(answer.Parts), answer.Total)
+	g.logAnswer(c, r, q, answer, took)
+	return out
+}
+
+func (g *Gateway) work(c *configuration, r *route.Route, service string, q Query) scatter.Work {
+	plan := scatter.Plan{
+		Request:       ident.NewRequestID(),
+		Snapshot:      c.single[service],
+		Started:       q.Arrived,
+		Deadline:      q.Arrived.Add(allowed(r, q)),
+		LeastCoverage: 1,
+		Prefer:        bundle.PreferCoverage,
+		Idempotent:    r.Idempotent,
+	}
+	if r.Target > 0 {
+		plan.Target = q.Arrived.Add(r.Target)
+	}
+	if r.AsksAll() {
+		plan.Snapshot = c.shards[r]
+		plan.LeastCoverage = r.LeastShare
+		plan.Prefer = bundle.PreferLatency
+	}
+	return scatter.Work{
+		Plan:       plan,
+		Index:      r.Name,
+		Class:      className(r),
+		Body:       q.Body,
+		MaxServers: r.MaxServers,
+		Forward:    q.Forward,
+	}
+}
+
+// longestWait is for a request that states no time on a route without one.
+const longestWait = 30 * time.Second
+
+// allowed is the time that a request may take: the caller's, and no more than
+// the operator lets the route wait.
+func allowed(r *route.Route, q Query) time.Duration {
+	wait := longestWait
+	if r.Timeout > 0 {
+		wait = r.Timeout
+	}
+	if q.Budget > 0 {
+		wait = min(wait, q.Budget)
+	}
+	return wait
+}
+
+func (g *Gateway) encode(r *route.Route, answer *scatter.Answer) *Answer {
+	out := &Answer{Code: answer.Code, Detail: answer.Detail, RetryAfter: answer.RetryAfter}
+	switch {
+	case r.AsksAll() && answered(answer.Code):
+		out.Merged = merge(r, answer)
+	case !r.AsksAll() && len(answer.Parts) == 1:
+		out.Reply = answer.Parts[0].Reply
+	case !r.AsksAll() && len(answer.Missing) == 1 && !answer.Code.NotRun():
+		out.Reply = answer.Missing[0].Reply
+	}
+	return out
+}
+
+func answered(code result.Code) bool {
+	return code.Group() == result.GroupComplete || code.Group() == result.GroupPartial
+}
+
+func merge(r *route.Route, answer *scatter.Answer) *Merged {
+	merged := &Merged{Missing: len(answer.Missing)}
+	bodies := make([][]byte, 0, len(answer.Parts))
+	for _, part := range answer.Parts {
+		bodies = append(bodies, part.Body)
+		merged.Signatures = append(merged.Signatures, part.Reply.Signature)
+	}
+	merged.Records = scatter.Greatest(bodies, recordSize, r.Greatest)
+	return merged
+}
+
+func (g *Gateway) phase() drain.Phase {
+	stop := g.stop.Load()
+	if stop == nil {
+		return drain.PhaseServing
+	}
+	return stop.Phase(g.options.Now(), int(g.inFlight.Load()))
+}
+
+func (g *Gateway) logRefusal(q Query, c *configuration, a *Answer) {
+	g.log.Info("request refused", zap.String("request", q.Forward.Attempt), zap.String("host", q.Forward.Host),
+		zap.String("path", q.Path), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
+		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter))
+}
+
+func versionOf(c *configuration) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.table.Config.Version
+}
+
+func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, a *scatter.Answer, took time.Duration) {
+	fields := []zap.Field{
+		zap.String("request", q.Forward.Attempt), zap.String("route", r.Name), zap.Uint64("config", versionOf(c)),
+		zap.Stringer("code", a.Code), zap.Int("parts", len(a.Parts)), zap.Int("total", a.Total),
+		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
+		zap.Duration("budget", q.Budget), zap.Duration("took", took),
+	}
+	if len(a.Missing) > 0 {
+		fields = append(fields, zap.Array("missing", missingList(a.Missing)))
+	}
+	g.log.Info("request answered", fields...)
+}
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -20,6 +20,7 @@
 // dispatch drops what can't be met any more and starts what can be started.
 func (h *Home) dispatch(now time.Time, acts []Action) []Action {
 	h.survey(now)
+	h.demoteLate(now)
 	acts = h.dropLate(now, acts)
 	acts = h.dropUnservable(now, acts)
 	h.queueHedges(now)
@@ -125,6 +126,27 @@
 	return now.Add(h.classes[l.Class].leastTime).Before(l.Deadline)
 }
 
+// demoteLate puts waiting legs that have missed the time they were due behind
+// those that can still make it.
+//
+// Load: more work than the service can do for seconds. Harm prevented: in the
+// order of arrival every leg waits until it is too late, and all answers lose
+// most of their worth; served last, the late ones cost the others nothing.
+func (h *Home) demoteLate(now time.Time) {
+	for i := range h.classes {
+		c := &h.classes[i]
+		for c.waiting.len() > 0 {
+			l := c.waiting.legs[0]
+			if !l.order.Before(l.Deadline) || l.order.After(now) {
+				break
+			}
+			c.waiting.removeAt(0)
+			l.order = l.Deadline
+			c.waiting.insert(l)
+		}
+	}
+}
+
 // dropLate drops waiting legs whose answer would come too late: the slot is
 // for a leg that can still be answered.
 func (h *Home) dropLate(now time.Time, acts []Action) []Action {
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -50,7 +50,7 @@
 func (h *Home) wantsHedge(c *class, a *attempt, now time.Time) bool {
 	l := a.leg
 	return !l.done && l.Idempotent && l.place == notQueued && !l.hedged && l.runningCount() == 1 &&
-		h.usableCount > 1 && now.Add(c.leastTime).Before(l.Deadline)
+		h.usableCount > 1 && l.serversLeft() > 0 && now.Add(c.leastTime).Before(l.Deadline)
 }
 
 // pickHedge is the first hedge that ranks before the waiting legs and has a
--- a/home/home.go
+++ b/home/home.go
@@ -29,6 +29,15 @@
 	Idempotent  bool
 	Fingerprint uint64
 	Bytes       int // of the body, for the bound of the queue
+	// Due is when the answer loses most of its worth; zero: at the deadline.
+	// Waiting legs go in the order of what they are due, and one that has
+	// missed it stands behind those that can still make it.
+	Due time.Time
+	// MaxServers bounds the servers that may run the leg; 0: no bound.
+	MaxServers int
+	// Forwarded requests are tried again on another server also after one that
+	// ran them has failed, if they are idempotent.
+	Forwarded bool
 }
 
 // ActionKind says what the shell has to do.
@@ -76,6 +85,8 @@
 	Incarnation uint64
 	SameZone    bool
 	Leaving     bool
+	Slots       int  // 0: Config.SlotsPerServer
+	Cold        bool // the server says that it has just started
 }
 
 // ClassSpec is a class as the home needs it.
@@ -94,4 +105,13 @@
 	HedgeQuantile  float64 // of the service time, past which a leg may be hedged
 	RetryBudget    float64 // retries per leg; 0: no retries
 	MaxQueueBytes  int     // of waiting bodies of all classes; 0: defaultMaxQueueBytes
+	// HedgeBurst and RetryBurst are how many hedges and retries may be sent
+	// beyond the budgets' rates; 0: hedgeBurst and retryBurst.
+	HedgeBurst, RetryBurst float64
+	// ChargeRefusals makes an attempt after a refusal cost a retry: for
+	// services whose operator counts each arrival beyond the first.
+	ChargeRefusals bool
+	// ZoneCost is what a hop to another availability zone counts for, in
+	// seconds of finish time; 0: zoneCost.
+	ZoneCost float64
 }
--- a/home/leg.go
+++ b/home/leg.go
@@ -27,8 +27,10 @@
 	attempts [maxRunning]*attempt
 	avoid    *server // failed it last, or lacks its snapshot
 	worst    result.Outcome
-	started  int  // attempts so far
-	unknowns int  // attempts that ended unknown
+	started  int // attempts so far
+	unknowns int // attempts that ended unknown
+	exposed  int // attempts that ended and may have run
+	order    time.Time
 	hedged   bool // a hedge was sent
 	done     bool
 	ran      result.Code // why an attempt that ran gave no answer
@@ -67,6 +69,18 @@
 	return n
 }
 
+// serversLeft is how many more servers may run the leg.
+//
+// Failure: a request that is slow or fails everywhere is sent to one server
+// after the other, and each works on it. Attempts that surely did not run
+// count for nothing.
+func (l *leg) serversLeft() int {
+	if l.MaxServers == 0 {
+		return maxAttempts
+	}
+	return l.MaxServers - l.exposed - l.runningCount()
+}
+
 // avoids reports whether the leg must or should not go to the server: one
 // that runs it already, or the one that failed it while there are others.
 func (l *leg) avoids(s *server, usable int) bool {
--- a/home/place.go
+++ b/home/place.go
@@ -42,7 +42,7 @@
 			}
 			continue
 		}
-		finish := freeFinish(s, expected, limit, now)
+		finish := h.freeFinish(s, expected, limit, now)
 		if best == nil || finish < bestFinish {
 			best, bestFinish, bestTime = s, finish, expected
 		}
@@ -56,14 +56,14 @@
 // freeFinish is the expected finish on a server with a free slot. Requests that
 // run there, this home's or reported ones, count for a part of one: they slow
 // it down.
-func freeFinish(s *server, expected float64, limit int, now time.Time) float64 {
+func (h *Home) freeFinish(s *server, expected float64, limit int, now time.Time) float64 {
 	busy := float64(len(s.running))/float64(limit) + s.othersShare(now)
 	finish := expected * (1 + busy/2)
 	if len(s.running) >= limit {
 		finish += expected / float64(limit) // sent ahead, waits for a slot
 	}
 	if !s.spec.SameZone {
-		finish += zoneCost
+		finish += h.cfg.ZoneCost
 	}
 	return finish
 }
--- a/home/queue.go
+++ b/home/queue.go
@@ -2,7 +2,7 @@
 
 import "sort"
 
-// queue holds legs by deadline, then request id.
+// queue holds legs by the time they are due, then request id.
 //
 // Load: a query has a leg at every service, and each home orders alone. Harm
 // prevented: with orders that differ, each query is last somewhere, and all
@@ -48,8 +48,8 @@
 
 // before is the order of every home's queue.
 func before(a, b *leg) bool {
-	if !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+	if !a.order.Equal(b.order) {
+		return a.order.Before(b.order)
 	}
 	if a.Request != b.Request {
 		return a.Request.Less(b.Request)
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -9,17 +9,15 @@
 // Classes are matched by name. The legs of a class that is gone go on in the
 // first class: their callers were admitted under the configuration before.
 func (h *Home) Reconfigure(now time.Time, cfg Config, acts []Action) []Action {
-	if cfg.MaxQueueBytes == 0 {
-		cfg.MaxQueueBytes = defaultMaxQueueBytes
-	}
+	cfg = cfg.withDefaults()
 	position := h.newPositions(cfg)
 	h.moveLegs(position, cfg)
 	h.moveTimes(position, cfg)
 	for _, s := range h.servers {
-		s.slots = cfg.SlotsPerServer
+		s.slots = slotsOf(s.spec, &cfg)
 	}
-	h.hedgeBudget.Set(cfg.HedgeBudget, hedgeBurst)
-	h.retryBudget.Set(cfg.RetryBudget, retryBurst)
+	h.hedgeBudget.Set(cfg.HedgeBudget, cfg.HedgeBurst)
+	h.retryBudget.Set(cfg.RetryBudget, cfg.RetryBurst)
 	h.cfg = cfg
 	return h.dispatch(now, acts)
 }
--- a/home/server.go
+++ b/home/server.go
@@ -51,16 +51,26 @@
 }
 
 func newServer(now time.Time, spec ServerSpec, cfg *Config, warm bool) *server {
+	slots := slotsOf(spec, cfg)
 	return &server{
 		spec:    spec,
-		slots:   cfg.SlotsPerServer,
-		running: make([]*attempt, 0, cfg.SlotsPerServer+1),
+		slots:   slots,
+		running: make([]*attempt, 0, slots+1),
 		times:   make([]meanTime, len(cfg.Classes)),
 		warm:    warm,
 		ahead:   ahead{nextProbe: now.Add(firstProbe)},
 	}
 }
 
+// slotsOf is how many requests the server serves at once: its own word goes
+// before the configuration's.
+func slotsOf(spec ServerSpec, cfg *Config) int {
+	if spec.Slots > 0 {
+		return spec.Slots
+	}
+	return max(1, cfg.SlotsPerServer)
+}
+
 // inService reports whether the server may get work at all. A drain that the
 // server itself announced lasts until a new incarnation, whatever other
 // signals say.
--- a/home/settle.go
+++ b/home/settle.go
@@ -28,6 +28,9 @@
 		return h.answer(now, a, acts)
 	}
 	l.note(end.Outcome)
+	if !end.Outcome.NotRun() {
+		l.exposed++
+	}
 	h.noteFailure(l, end)
 	if l.runningCount() > 0 {
 		return acts // the other attempt may still answer
@@ -36,7 +39,7 @@
 	if !h.mayRetry(l, end, now) {
 		return h.fail(l, finalCode(l, end), end.RetryAfter, acts)
 	}
-	if !paced(end) && !h.retryBudget.Spend() {
+	if h.costsRetry(end) && !h.retryBudget.Spend() {
 		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
 	}
 	if !countsAsRefusal(end) {
@@ -60,6 +63,10 @@
 	return end.Fault == backend.FaultShed || end.Fault == backend.FaultConnectionLimit
 }
 
+// costsRetry reports whether another attempt after this end is paid from the
+// retry budget.
+func (h *Home) costsRetry(end End) bool { return h.cfg.ChargeRefusals || !paced(end) }
+
 func attemptsFor(end End) int {
 	if paced(end) {
 		return maxPacedAttempts
@@ -96,13 +103,16 @@
 	if !l.worst.NotRun() && !l.Idempotent {
 		return false
 	}
+	if l.serversLeft() <= 0 {
+		return false
+	}
 	switch {
 	case end.Outcome.NotRun():
 		return true
 	case end.Outcome == result.OutcomeUnknown:
 		return l.unknowns < maxUnknowns
 	default:
-		return end.Fault == backend.FaultSnapshotMismatch
+		return end.Fault == backend.FaultSnapshotMismatch || (l.Forwarded && end.Fault == backend.FaultServer)
 	}
 }
 
--- a/home/state.go
+++ b/home/state.go
@@ -36,20 +36,34 @@
 	anyWarm                 bool
 }
 
+func (c Config) withDefaults() Config {
+	if c.MaxQueueBytes == 0 {
+		c.MaxQueueBytes = defaultMaxQueueBytes
+	}
+	if c.HedgeBurst == 0 {
+		c.HedgeBurst = hedgeBurst
+	}
+	if c.RetryBurst == 0 {
+		c.RetryBurst = retryBurst
+	}
+	if c.ZoneCost == 0 {
+		c.ZoneCost = zoneCost
+	}
+	return c
+}
+
 // New makes the home of a service. Attempt ids start after firstAttempt, so
 // that the homes of one host never share one.
 func New(cfg Config, firstAttempt ident.AttemptID) *Home {
-	if cfg.MaxQueueBytes == 0 {
-		cfg.MaxQueueBytes = defaultMaxQueueBytes
-	}
+	cfg = cfg.withDefaults()
 	h := &Home{
 		cfg:         cfg,
 		classes:     make([]class, len(cfg.Classes)),
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		nextAttempt: firstAttempt,
-		hedgeBudget: retry.NewEmptyBudget(cfg.HedgeBudget, hedgeBurst),
-		retryBudget: retry.NewBudget(cfg.RetryBudget, retryBurst),
+		hedgeBudget: retry.NewEmptyBudget(cfg.HedgeBudget, cfg.HedgeBurst),
+		retryBudget: retry.NewBudget(cfg.RetryBudget, cfg.RetryBurst),
 	}
 	for i := range h.classes {
 		h.classes[i] = class{spec: cfg.Classes[i], index: i}
@@ -64,9 +78,10 @@
 	for _, spec := range specs {
 		s := h.find(spec.Name)
 		if s == nil || s.spec.Incarnation != spec.Incarnation {
-			s = newServer(now, spec, &h.cfg, !h.known)
+			s = newServer(now, spec, &h.cfg, !h.known && !spec.Cold)
 		}
 		s.spec = spec
+		s.slots = slotsOf(spec, &h.cfg)
 		next = append(next, s)
 	}
 	slices.SortFunc(next, func(a, b *server) int { return strings.Compare(a.spec.Name, b.spec.Name) })
@@ -88,7 +103,10 @@
 
 // Submit takes a leg in; it starts, waits or fails at once.
 func (h *Home) Submit(now time.Time, in Leg, acts []Action) []Action {
-	l := &leg{Leg: in, worst: result.OutcomeUnsent}
+	l := &leg{Leg: in, worst: result.OutcomeUnsent, order: in.Deadline}
+	if in.Due.After(now) {
+		l.order = in.Due
+	}
 	c := &h.classes[in.Class]
 	h.wake(c, now)
 	if code, ok := h.admits(c, l, now); !ok {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -41,6 +41,7 @@
 	watcher Watcher
 	now     func() time.Time
 	inForce func() *bundle.Config
+	tune    Tune
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -55,8 +56,16 @@
 	Server   backend.Server
 	SameZone bool
 	Leaving  bool
+	// Slots is how many requests the server serves at once; 0: as many as the
+	// configuration says of its service.
+	Slots int
+	// Cold: the server says that it has just started and is still slow.
+	Cold bool
 }
 
+// Tune changes the limits of a service's home before they are put in force.
+type Tune func(*home.Config)
+
 // New makes a server without homes; they come into being with their first leg.
 // inForce returns the configuration in force; nil: none yet.
 func New(runner backend.Runner, counter Counter, watcher Watcher, now func() time.Time, inForce func() *bundle.Config) *Server {
@@ -71,6 +80,10 @@
 	}
 }
 
+// SetTune makes the server change the limits of each home; call it before any
+// leg runs.
+func (s *Server) SetTune(tune Tune) { s.tune = tune }
+
 // Refresh puts the configuration in force into the homes. Legs that come find
 // it by themselves; those that wait already need the call.
 func (s *Server) Refresh() {
@@ -92,7 +105,7 @@
 			delete(s.services, name)
 			continue
 		}
-		svc.reconfigure(homeConfig(config, spec))
+		svc.reconfigure(s.homeConfig(config, spec))
 	}
 }
 
@@ -171,18 +184,18 @@
 	}
 	s.nextHome++
 	first := ident.AttemptID(s.nextHome * attemptsPerHome)
-	svc := newService(s, name, home.New(homeConfig(s.config, spec), first))
+	svc := newService(s, name, home.New(s.homeConfig(s.config, spec), first))
 	s.services[name] = svc
 	svc.setServers(s.known[name])
 	return svc
 }
 
-func homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
+func (s *Server) homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
 	classes := make([]home.ClassSpec, len(config.Classes))
 	for i, class := range config.Classes {
 		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
 	}
-	return home.Config{
+	limits := home.Config{
 		Service:        spec.Name,
 		SlotsPerServer: spec.SlotsPerServer,
 		Classes:        classes,
@@ -190,6 +203,10 @@
 		HedgeQuantile:  config.Policy.HedgeQuantile,
 		RetryBudget:    config.Policy.RetryBudget,
 	}
+	if s.tune != nil {
+		s.tune(&limits)
+	}
+	return limits
 }
 
 // Open counts the legs that are under way at this host's homes.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
@@ -36,6 +37,8 @@
 	hedges   int
 	// notHeld: the last attempt was refused since the server lacks the snapshot.
 	notHeld bool
+	// reply is what a backend server said of a forwarded request last.
+	reply *forward.Reply
 }
 
 type openAttempt struct {
@@ -74,6 +77,9 @@
 			Idempotent:  request.Idempotent,
 			Fingerprint: request.Fingerprint,
 			Bytes:       len(request.Body),
+			Due:         request.Due,
+			MaxServers:  request.MaxServers,
+			Forwarded:   request.Forward != nil,
 		}, acts)
 	})
 }
@@ -107,6 +113,8 @@
 				Incarnation: k.Server.Incarnation,
 				SameZone:    k.SameZone,
 				Leaving:     k.Leaving,
+				Slots:       k.Slots,
+				Cold:        k.Cold,
 			}
 		}
 		s.servers = servers
@@ -178,6 +186,7 @@
 		Deadline:   l.request.Deadline,
 		Idempotent: l.request.Idempotent,
 		Body:       l.request.Body,
+		Forward:    l.request.Forward,
 	}
 	s.server.watcher.Started(act.Attempt, s.servers[act.Server], l.request.Fingerprint)
 	go s.run(ctx, s.servers[act.Server], l.request.Fingerprint, call)
@@ -193,7 +202,7 @@
 			Outcome:    end.Outcome,
 			Fault:      end.Fault,
 			Load:       end.Reply.Load,
-			HasLoad:    end.Reply.Incarnation != 0,
+			HasLoad:    end.Reply.Incarnation != 0 || end.Reply.Load.Slots > 0,
 			RetryAfter: end.RetryAfter,
 			NoRetry:    suspect,
 		}, acts)
@@ -209,6 +218,9 @@
 	a.end = end
 	if l := s.legs[a.leg]; l != nil {
 		l.notHeld = end.Fault == backend.FaultSnapshotNotHeld
+		if end.Reply.Forwarded != nil {
+			l.reply = end.Reply.Forwarded
+		}
 	}
 }
 
@@ -223,6 +235,7 @@
 	r.Hedges = l.hedges
 	r.Wait = l.wait
 	r.RetryAfter = act.RetryAfter
+	r.Reply = l.reply
 	if l.notHeld {
 		r.Code = result.NoSnapshot
 	}
@@ -233,6 +246,7 @@
 		r.Body = reply.Body
 		r.Digest = leg.Digest(reply.Body)
 		r.Held = reply.Held
+		r.Reply = reply.Forwarded
 	}
 	return ending{done: l.done, result: r}, true
 }
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -25,6 +26,12 @@
 	Idempotent  bool
 	Fingerprint uint64 // of route, caller and body
 	Body        []byte
+	// Due is when the answer loses most of its worth; zero: at the deadline.
+	Due time.Time
+	// MaxServers bounds the backend servers that may run the leg; 0: no bound.
+	MaxServers int
+	// Forward is set for a request that is passed on as its caller sent it.
+	Forward *forward.Request
 }
 
 // Result is how a leg ended. Request and Shard are echoes, which the root
@@ -39,7 +46,10 @@
 	Body     []byte
 	Digest   uint64 // of Body, made where the body was first received
 	// Held are the index's snapshots that the backend server holds, if it said so.
-	Held     []snapshot.Version
+	Held []snapshot.Version
+	// Reply is the backend server's reply to a forwarded request, also one that
+	// says that the request failed; nil: there is none.
+	Reply    *forward.Reply
 	Attempts int // sent to backend servers
 	Hedges   int // of these, hedges
 	// Wait is how long the leg waited at its home before its first attempt
--- a/member/agent.go
+++ b/member/agent.go
@@ -13,8 +13,8 @@
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
-	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/peer"
 )
 
 const (
@@ -46,8 +46,8 @@
 	Membership Config
 	Pool       *peer.Pool
 	HostList   metastore.HostList // nil: no second opinion
-	Now        func() time.Time  // nil: time.Now
-	Rand       *rand.Rand        // nil: seeded by the operating system
+	Now        func() time.Time   // nil: time.Now
+	Rand       *rand.Rand         // nil: seeded by the operating system
 	Logger     *zap.Logger
 	Registerer prometheus.Registerer // nil: no metrics
 
@@ -162,6 +162,11 @@
 	a.post(func(_ time.Time, m *Membership) { m.SetLoad(permille) })
 }
 
+// AddSeeds adds peer addresses to call when no peer is known.
+func (a *Agent) AddSeeds(addresses []string) {
+	a.post(func(_ time.Time, m *Membership) { m.config.Seeds = append(m.config.Seeds, addresses...) })
+}
+
 // Leave announces a planned stop and returns when it was sent on or ctx ends.
 // The agent runs on, so that work in flight can be finished; ending Run's
 // context then tells peers that this host is gone.
--- a/member/agent_test.go
+++ b/member/agent_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
-	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/peer"
 )
 
 type running struct {
--- a/metastore/client.go
+++ b/metastore/client.go
@@ -128,10 +128,10 @@
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	var objects []Object
-	err := c.read(ctx, PathList, url.Values{ParamPrefix: {prefix}}, &objects)
-	return objects, errors.Wrapf(err, "list %s", prefix)
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	var reply WatchReply
+	err := c.read(ctx, PathList, url.Values{ParamPrefix: {prefix}}, &reply)
+	return reply.Objects, reply.Revision, errors.Wrapf(err, "list %s", prefix)
 }
 
 // Hosts implements HostList.
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -23,6 +23,8 @@
 	// ErrAmbiguous: a write was sent and its reply was lost. It may have taken
 	// effect; the writer must read back before it says anything.
 	ErrAmbiguous = errors.New("metastore: write outcome unknown")
+	// ErrHistoryGone: the store no longer knows the changes after a revision.
+	ErrHistoryGone = errors.New("metastore: history is gone")
 	// ErrTooLarge: the value is over MaxValueBytes; nothing was written.
 	ErrTooLarge = errors.New("metastore: value too large")
 )
@@ -46,11 +48,14 @@
 	Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error)
 	// Delete removes the object if its version is still expect.
 	Delete(ctx context.Context, key string, expect uint64) error
-	// List reads all objects below a prefix, in key order.
-	List(ctx context.Context, prefix string) ([]Object, error)
+	// List reads all objects below a prefix, in key order, and returns the
+	// store's revision at that moment, from which a Watch continues.
+	List(ctx context.Context, prefix string) ([]Object, uint64, error)
 	// Watch waits until an object below the prefix has a revision above after,
 	// or ctx ends, and returns the changed objects and the revision to
-	// continue from. A waiting watch counts as one call to the platform.
+	// continue from; a deleted object has Version 0. ErrHistoryGone says that
+	// the store has forgotten what came after: List again. A waiting watch
+	// counts as one call to the platform.
 	Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error)
 }
 
--- a/metastore/wire.go
+++ b/metastore/wire.go
@@ -21,7 +21,8 @@
 	ParamKind   = "kind"
 )
 
-// WatchReply is the body of a watch that ended. No objects: the wait is over.
+// WatchReply is the body of a list, or of a watch that ended; there no objects
+// say that the wait is over.
 type WatchReply struct {
 	Objects  []Object `json:"objects"`
 	Revision uint64   `json:"revision"`
--- a/parts_control.go
+++ b/parts_control.go
@@ -7,8 +7,8 @@
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
-	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 )
--- a/rollout/head.go
+++ b/rollout/head.go
@@ -129,7 +129,7 @@
 
 // findManifest reads an accepted manifest by its generation alone.
 func findManifest(ctx context.Context, store metastore.Store, generation uint64) (bundle.Signed, error) {
-	objects, err := store.List(ctx, generationPrefix(generation))
+	objects, _, err := store.List(ctx, generationPrefix(generation))
 	switch {
 	case err != nil:
 		return bundle.Signed{}, errors.Wrapf(err, "read manifest of generation %d", generation)
--- a/rollout/loopback_test.go
+++ b/rollout/loopback_test.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/standin"
 )
 
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,85 @@
+package route
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func config(routes ...Route) *Config {
+	c := &Config{Version: 3, Routes: routes}
+	for _, name := range []string{"a", "b", "c"} {
+		c.Services = append(c.Services, Service{Name: name})
+	}
+	return c
+}
+
+func plain(name, host, prefix string, shares ...Share) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Shares: shares}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	a := []Share{{Service: "a", Weight: 1}}
+	table := NewTable(config(
+		plain("short", "x.example", "/one/", a...),
+		plain("long", "x.example", "/one/two/", a...),
+		plain("other", "y.example", "/", a...),
+	))
+	for _, c := range []struct{ host, path, want string }{
+		{"x.example", "/one/two/three", "long"},
+		{"x.example", "/one/two/", "long"},
+		{"X.Example:8080", "/one/two", "short"},
+		{"x.example", "/one/twofold/x", "short"},
+		{"x.example", "/one", ""},
+		{"x.example", "/", ""},
+		{"y.example", "/anything", "other"},
+		{"z.example", "/one/", ""},
+	} {
+		r, _, ok := table.Match(c.host, c.path)
+		is.Equal(ok, c.want != "")
+		if ok {
+			is.Equal(r.Name, c.want)
+		}
+	}
+}
+
+// An operator splits a route 9 to 1 between an old and a new service and looks
+// at a few hundred requests: the new one must get its tenth, not 7 or 13%.
+func TestSplitKeepsItsWeightsOverFewRequests(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(config(plain("split", "x", "/", Share{"a", 0.9}, Share{"b", 0.1}, Share{"c", 0})))
+	counts := map[string]int{}
+	const n = 300
+	for range n {
+		_, service, _ := table.Match("x", "/")
+		counts[service]++
+	}
+	is.True(math.Abs(float64(counts["b"])/n-0.1) < 0.01)
+	is.Equal(counts["c"], 0)
+}
+
+func TestValidateSaysWhatIsWrong(t *testing.T) {
+	is := is.New(t)
+	a := Share{Service: "a", Weight: 1}
+	good := config(plain("r", "x", "/", a))
+	is.NoErr(good.Validate())
+	for _, bad := range []Route{
+		{Name: "none", Host: "x", Prefix: "/"},
+		plain("nohost", "", "/", a),
+		plain("prefix", "x", "/one", a),
+		plain("unknown", "x", "/", Share{Service: "nowhere", Weight: 1}),
+		plain("twice", "x", "/", a, a),
+		plain("weightless", "x", "/", Share{Service: "a"}),
+		plain("negative", "x", "/", Share{Service: "a", Weight: -1}),
+		{Name: "both", Host: "x", Prefix: "/", Shares: []Share{a}, Shards: []string{"b"}, Greatest: 1},
+		{Name: "records", Host: "x", Prefix: "/", Shards: []string{"b"}, Idempotent: true},
+		{Name: "booking", Host: "x", Prefix: "/", Shards: []string{"b"}, Greatest: 1},
+		{Name: "share", Host: "x", Prefix: "/", Shards: []string{"b"}, Greatest: 1, Idempotent: true, LeastShare: 1.1},
+		{Name: "time", Host: "x", Prefix: "/", Shares: []Share{a}, Timeout: -1},
+	} {
+		is.True(config(bad).Validate() != nil) // bad.Name
+	}
+	is.True((&Config{}).Validate() != nil)
+}
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -35,6 +36,10 @@
 	Caller      string
 	Fingerprint uint64
 	Body        []byte
+	// MaxServers bounds the backend servers that may run a leg; 0: no bound.
+	MaxServers int
+	// Forward is set for a request that is passed on as its caller sent it.
+	Forward *forward.Request
 }
 
 // Coordinator runs queries. It holds no state between them.
@@ -80,7 +85,6 @@
 	shards := work.Snapshot.Shards
 	r := &run{
 		c:       c,
-		query:   NewQuery(work.Plan),
 		work:    work,
 		results: make(chan arrival, homesPerLeg*len(shards)),
 		cancels: make([]func(), len(shards)),
@@ -90,7 +94,11 @@
 		started: c.now(),
 		times:   make([]LegTime, len(shards)),
 	}
-	timer := time.NewTimer(CutOff(c.now(), work.Deadline, work.Prefer).Sub(c.now()))
+	if r.work.Started.IsZero() {
+		r.work.Started = r.started
+	}
+	r.query = NewQuery(r.work.Plan)
+	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
 	for i := range shards {
 		first, _ := c.homes.Of(shards[i].Service)
@@ -101,7 +109,8 @@
 		case a := <-r.results:
 			r.take(a)
 		case <-timer.C:
-			r.query.Expire()
+			r.query.CutOff(c.now())
+			timer.Reset(r.query.NextCutOff().Sub(c.now()))
 		case <-ctx.Done():
 			r.query.Abandon()
 		}
@@ -148,6 +157,9 @@
 		Idempotent:  r.work.Idempotent,
 		Fingerprint: r.work.Fingerprint,
 		Body:        r.work.Body,
+		Due:         r.work.Target,
+		MaxServers:  r.work.MaxServers,
+		Forward:     r.work.Forward,
 	}
 }
 
--- a/scatter/cutoff.go
+++ b/scatter/cutoff.go
@@ -20,6 +20,31 @@
 	maxReserve = 100 * time.Millisecond
 )
 
+// FinalCutOff is when a query answers with what it has, or says that it can't.
+func FinalCutOff(plan Plan) time.Time {
+	return CutOff(plan.Started, plan.Deadline, plan.Prefer)
+}
+
+const (
+	// targetShare and targetFixed are the part of the time to the target that
+	// is kept for the ways from and to the caller, which its clock counts: two
+	// of the users' longest ways (3 ms), and a part for writing and a late timer.
+	targetShare = 0.08
+	targetFixed = 4 * time.Millisecond
+	// mostTargetReserve bounds the reserve of long targets.
+	mostTargetReserve = 12 * time.Millisecond
+)
+
+// TargetCutOff is when a query that has the least coverage answers, so that
+// the answer is with the caller at the target.
+//
+// Load: one straggler among 20 to 92 shards. Harm prevented: the whole answer
+// comes late and is worth a tenth, for the sake of a twentieth of it.
+func TargetCutOff(target, started time.Time) time.Time {
+	reserve := targetFixed + time.Duration(targetShare*float64(target.Sub(started)))
+	return target.Add(-min(reserve, mostTargetReserve))
+}
+
 // CutOff is when a query answers with what it has, so that the answer is with
 // the caller before its deadline.
 //
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -36,7 +37,10 @@
 type Plan struct {
 	Request  ident.RequestID
 	Snapshot *snapshot.Snapshot
+	Started  time.Time // when the request came
 	Deadline time.Time
+	// Target is when the answer loses most of its worth; zero: at the deadline.
+	Target time.Time
 	// LeastCoverage, 0 to 1, below which there is no answer.
 	LeastCoverage float64
 	Prefer        bundle.Prefer
@@ -50,6 +54,7 @@
 type Part struct {
 	Shard snapshot.ShardID
 	Body  []byte
+	Reply *forward.Reply // to a forwarded request; else nil
 }
 
 // Missing is one shard that an answer lacks, and why.
@@ -58,6 +63,8 @@
 	Service string
 	Code    result.Code
 	Detail  string
+	// Reply is what a backend server said of a forwarded request that failed.
+	Reply *forward.Reply
 }
 
 // LegTime is how one leg went, as its root saw it.
@@ -91,6 +98,7 @@
 	settled bool
 	answer  bool
 	body    []byte
+	reply   *forward.Reply
 	code    result.Code
 	detail  string
 	outcome result.Outcome
@@ -107,6 +115,7 @@
 	have     int
 	attempts int
 	hedges   int
+	late     bool // the target has passed
 	stale    bool // a replica lacks the snapshot, and the query may restart
 	answer   *Answer
 }
@@ -145,6 +154,7 @@
 	}
 	q.attempts += r.Attempts
 	q.hedges += r.Hedges
+	shard.reply = r.Reply
 	verdict := q.judge(r)
 	shard.settled = true
 	q.open--
@@ -188,6 +198,32 @@
 	}
 }
 
+// CutOff ends the query with what is there if it is time to: at the target
+// when the least coverage is reached, else at the final cut-off. Past the
+// target the query ends as soon as it has the least coverage.
+func (q *Query) CutOff(now time.Time) {
+	if !now.Before(FinalCutOff(q.plan)) {
+		q.Expire()
+		return
+	}
+	q.late = !q.plan.Target.IsZero() && !now.Before(TargetCutOff(q.plan.Target, q.plan.Started))
+	if q.late && q.covers(q.have) {
+		q.Expire()
+	}
+}
+
+// NextCutOff is when CutOff is due next.
+func (q *Query) NextCutOff() time.Time {
+	final := FinalCutOff(q.plan)
+	if q.late || q.plan.Target.IsZero() {
+		return final
+	}
+	if target := TargetCutOff(q.plan.Target, q.plan.Started); target.Before(final) {
+		return target
+	}
+	return final
+}
+
 // Expire ends the query at its cut-off with what is there. A leg that is
 // still open may run or have run, so its outcome is unknown.
 func (q *Query) Expire() {
@@ -228,8 +264,11 @@
 // once, not at its deadline, and the legs left over load nobody.
 func (q *Query) finishIfDecided() {
 	reachable := q.have + q.open
-	if q.open == 0 || q.stale || !q.covers(reachable) {
+	switch {
+	case q.open == 0 || q.stale || !q.covers(reachable):
 		q.finish()
+	case q.late && q.covers(q.have):
+		q.Expire()
 	}
 }
 
@@ -262,10 +301,10 @@
 	shard := &q.shards[i]
 	spec := q.plan.Snapshot.Shards[i]
 	if shard.answer {
-		a.Parts = append(a.Parts, Part{Shard: spec.ID, Body: shard.body})
+		a.Parts = append(a.Parts, Part{Shard: spec.ID, Body: shard.body, Reply: shard.reply})
 		return false
 	}
-	missing := Missing{Shard: spec.ID, Service: spec.Service, Code: shard.code, Detail: shard.detail}
+	missing := Missing{Shard: spec.ID, Service: spec.Service, Code: shard.code, Detail: shard.detail, Reply: shard.reply}
 	if !shard.settled {
 		// The least coverage was out of reach while this leg was under way.
 		missing.Code = result.Cancelled
--- a/servers.go
+++ b/servers.go
@@ -11,8 +11,8 @@
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
-	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -150,13 +150,13 @@
 }
 
 // List implements metastore.Store.
-func (p *Platform) List(ctx context.Context, prefix string) ([]metastore.Object, error) {
+func (p *Platform) List(ctx context.Context, prefix string) ([]metastore.Object, uint64, error) {
 	if err := p.begin(ctx, func(c *PlatformCalls) { c.List++ }); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.below(prefix, func(o metastore.Object) bool { return o.Version != 0 }), nil
+	return p.below(prefix, func(o metastore.Object) bool { return o.Version != 0 }), p.revision, nil
 }
 
 // visible is the object as reads see it; the lock is held.
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -123,8 +123,8 @@
 }
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	objects, err := p.List(r.Context(), r.URL.Query().Get(metastore.ParamPrefix))
-	answer(w, objects, err)
+	objects, revision, err := p.List(r.Context(), r.URL.Query().Get(metastore.ParamPrefix))
+	answer(w, metastore.WatchReply{Objects: objects, Revision: revision}, err)
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
