--- a/discover/follower.go
+++ b/discover/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 const (
@@ -18,6 +20,20 @@
 	// gets a call a second, and a host that is let in again knows it within one.
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
+	// leastWait and mostWait bound how long one watch waits in a small fleet.
+	//
+	// Failure: the store drops its history, or loses track of the watches, and
+	// they hear nothing of a change that was made meanwhile. The guard holds
+	// because watches end at random times: the first host of the fleet to watch
+	// again is told, and the others hear of it from their peers.
+	leastWait = 2 * time.Second
+	mostWait  = 4 * time.Second
+	// smallFleet is the number of hosts up to which these hold; in a larger one
+	// each host waits longer in proportion, so that the calls of all together
+	// stay the same, and so does the time until the first one is told.
+	smallFleet = 8
+	// longestWait bounds the wait: the store takes no more than 30 s.
+	longestWait = 25 * time.Second
 )
 
 // Config is what a Follower needs.
@@ -26,8 +42,14 @@
 	Prefix string
 	Now    func() time.Time
 	Logger *zap.Logger
-	// Apply hears each change, with all objects, on the Follower's goroutine.
-	Apply func(objects []metastore.Object)
+	// Apply hears each change, with all objects, on the Follower's goroutine,
+	// and the store's revision at which it holds.
+	Apply func(objects []metastore.Object, revision uint64)
+	// Hosts is how many hosts follow the same store; nil: this one only.
+	Hosts func() int
+	// Settle is how long changes are gathered before the next watch, so that a
+	// start of many servers costs each host a few calls; 0: not at all.
+	Settle time.Duration
 }
 
 // Follower keeps a Mirror of the objects below a prefix: one list, then
@@ -35,7 +57,7 @@
 type Follower struct {
 	config   Config
 	mirror   *Mirror
-	revision uint64
+	revision atomic.Uint64
 	listed   atomic.Bool
 	heardAt  atomic.Int64 // nanoseconds since 1970; 0: never
 	again    chan struct{}
@@ -57,6 +79,9 @@
 	return time.Time{}
 }
 
+// Revision is the store's revision up to which changes are known.
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
+
 // Again makes the follower list anew at once: a peer knows more than the
 // watch has told, so the watch has lost its other end.
 func (f *Follower) Again() {
@@ -79,11 +104,11 @@
 			return nil
 		}
 		if errors.Is(err, errListAgain) || errors.Is(err, metastore.ErrHistoryGone) {
-			f.config.Logger.Info("listing anew", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision), zap.Error(err))
+			f.config.Logger.Info("listing anew", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err))
 			continue
 		}
 		f.mirror.Lost()
-		f.config.Logger.Warn("lost the metadata store", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision), zap.Error(err))
+		f.config.Logger.Warn("lost the metadata store", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err))
 		f.wait(ctx, retry)
 		retry = min(2*retry, mostRetry)
 	}
@@ -101,7 +126,7 @@
 	}
 	regained := f.mirror.lost
 	f.heard()
-	f.revision = revision
+	f.revision.Store(max(revision, f.revision.Load()))
 	changed := f.mirror.Replace(f.config.Now(), objects)
 	if !f.listed.Swap(true) || regained {
 		f.config.Logger.Info("listed from the metadata store", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", revision), zap.Int("objects", len(objects)))
@@ -122,8 +147,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan watched, 1)
+	wait := f.nextWait()
 	go func() {
-		objects, revision, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision)
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		objects, revision, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision.Load())
 		results <- watched{objects, revision, err}
 	}()
 	for {
@@ -135,8 +163,9 @@
 				return w.err
 			}
 			f.heard()
-			f.revision = max(f.revision, w.revision)
+			f.revision.Store(max(f.revision.Load(), w.revision))
 			f.apply(f.mirror.Change(f.config.Now(), w.objects))
+			f.settle(ctx, len(w.objects))
 			return nil
 		case <-timer.C:
 			f.apply(f.mirror.Tick(f.config.Now()))
@@ -147,6 +176,22 @@
 	}
 }
 
+// nextWait draws how long the next watch waits.
+func (f *Follower) nextWait() time.Duration {
+	wait := leastWait + rand.N(mostWait-leastWait)
+	if f.config.Hosts != nil {
+		wait = wait * time.Duration(max(f.config.Hosts(), smallFleet)) / smallFleet
+	}
+	return min(wait, longestWait)
+}
+
+// settle lets more changes gather after some have come.
+func (f *Follower) settle(ctx context.Context, changes int) {
+	if changes > 0 && f.config.Settle > 0 {
+		f.wait(ctx, f.config.Settle)
+	}
+}
+
 // idleTick is how long the loop sleeps when nothing is due.
 const idleTick = time.Minute
 
@@ -172,6 +217,6 @@
 
 func (f *Follower) apply(changed bool) {
 	if changed {
-		f.config.Apply(f.mirror.Objects())
+		f.config.Apply(f.mirror.Objects(), f.revision.Load())
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
@@ -93,7 +94,10 @@
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
-	events   chan func() // for the control loop
+	// serversAt is the store's revision of the newest change of the servers.
+	serversAt  atomic.Uint64
+	catchingUp atomic.Bool
+	events     chan func() // for the control loop
 
 	// owned by the servers' follower
 	serverStates map[string]ServerEntry
@@ -200,45 +204,22 @@
 	}
 	config, err := g.options.Decode.Config(object)
 	if err != nil {
-		g.log.Error("configuration can't be read, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), zap.Error(err))
+		g.log.Error("configuration can't be read, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
 	next, err := newConfiguration(object.Revision, object.Value, config)
 	if err != nil {
-		g.log.Error("configuration is not valid, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), zap.Error(err))
+		g.log.Error("configuration is not valid, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
 	g.relay.Offer(object)
-	g.members.AnnounceConfig(object.Revision, nil)
+	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
 		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
 }
 
-// configNews hears that a peer has a newer configuration.
-func (g *Gateway) configNews(news member.ConfigNews) {
-	g.configs.Again()
-	above := uint64(0)
-	if c := g.inForce.Load(); c != nil {
-		above = c.revision
-	}
-	if news.Generation <= above {
-		return
-	}
-	go func() {
-		object, err := g.relay.Ask(context.Background(), news.FromAddress, above)
-		switch {
-		case errors.Is(err, discover.ErrAsking) || errors.Is(err, discover.ErrNothingNewer):
-		case err != nil:
-			g.log.Warn("a peer did not give its configuration", zap.String("peer", string(news.From)), zap.Uint64("revision", news.Generation), zap.Error(err))
-		default:
-			object.Key = g.options.ConfigKey
-			g.post(func() { g.applyConfig(object, "peer "+string(news.From)) })
-		}
-	}()
-}
-
 func (g *Gateway) homesConfig() *bundle.Config {
 	if c := g.inForce.Load(); c != nil {
 		return c.homes
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/dig"
 	"go.uber.org/zap"
@@ -69,8 +71,8 @@
 	if err := g.relay.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	g.configs = g.newFollower(g.options.ConfigKey, g.applyConfigs)
-	g.servers = g.newFollower(g.options.ServersPrefix, g.applyServers)
+	g.configs = g.newFollower(g.options.ConfigKey, 0, g.applyConfigs)
+	g.servers = g.newFollower(g.options.ServersPrefix, serversSettle, g.applyServers)
 	return nil
 }
 
@@ -91,7 +93,7 @@
 		Now:          g.options.Now,
 		Logger:       g.log,
 		Registerer:   registry,
-		OnConfigNews: g.configNews,
+		OnConfigNews: g.heardNews,
 	})
 }
 
@@ -106,13 +108,19 @@
 	return scatter.NewCoordinator(local, counters, g.options.Now, func(string, string, []snapshot.Version) {})
 }
 
-func (g *Gateway) newFollower(prefix string, apply func([]metastore.Object)) *discover.Follower {
+// serversSettle gathers the servers' changes: fifty that start within a second
+// cost each host a few calls, and a server that leaves has seconds.
+const serversSettle = 250 * time.Millisecond
+
+func (g *Gateway) newFollower(prefix string, settle time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
+		Hosts:  func() int { return len(g.members.View().Hosts) },
+		Settle: settle,
 	})
 }
 
-func (g *Gateway) applyConfigs(objects []metastore.Object) {
+func (g *Gateway) applyConfigs(objects []metastore.Object, _ uint64) {
 	for _, object := range objects {
 		if object.Key == g.options.ConfigKey {
 			g.post(func() { g.applyConfig(object, "store") })
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 // hostEntry is what a host writes of itself, so that hosts that start later
@@ -28,7 +29,7 @@
 		if err == nil || ctx.Err() != nil {
 			return nil
 		}
-		g.log.Warn("registration failed and is tried again", zap.Error(err))
+		g.log.Warn("registration failed and is tried again", observe.Reason(err))
 		select {
 		case <-time.After(registerRetry):
 		case <-ctx.Done():
@@ -49,7 +50,7 @@
 	for _, object := range entries {
 		var entry hostEntry
 		if err := json.Unmarshal(object.Value, &entry); err != nil {
-			g.log.Warn("a host's entry can't be read", zap.String("key", object.Key), zap.Error(err))
+			g.log.Warn("a host's entry can't be read", zap.String("key", object.Key), observe.Reason(err))
 			continue
 		}
 		if object.Key == key {
@@ -69,6 +70,6 @@
 	if errors.Is(err, metastore.ErrConflict) {
 		return errors.Wrap(err, "own entry was written meanwhile")
 	}
-	g.log.Info("registered", zap.Int("hosts_listed", len(entries)), zap.Error(err))
+	g.log.Info("registered", zap.Int("hosts_listed", len(entries)), observe.Reason(err))
 	return errors.Wrap(err, "write own entry")
 }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -6,6 +6,7 @@
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 // ServerEntry is what a backend server says of itself in the store.
@@ -22,14 +23,14 @@
 }
 
 // applyServers takes the entries of all backend servers in.
-func (g *Gateway) applyServers(objects []metastore.Object) {
+func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
 	known := make(map[string][]homeserver.Known)
 	zones := make(map[string]int)
 	lives := make(map[string]bool, len(objects))
 	for _, object := range objects {
 		entry, err := g.options.Decode.Server(object)
 		if err != nil {
-			g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), zap.Error(err))
+			g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
 			continue
 		}
 		g.noteServer(entry, object.Revision)
@@ -56,6 +57,8 @@
 	}
 	g.zones.Store(&zones)
 	g.homes.SetServers(known)
+	g.serversAt.Store(revision)
+	g.announce()
 }
 
 // noteServer writes a line when what is believed of a server changes.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/drain"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 const (
@@ -25,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(live, leaveWait)
 	defer cancel()
 	if err := g.members.Leave(ctx); err != nil {
-		g.log.Warn("peers were not told of the stop", zap.Error(err))
+		g.log.Warn("peers were not told of the stop", observe.Reason(err))
 	}
 	last := drain.PhaseServing
 	for live.Err() == nil {
--- a/member/news.go
+++ b/member/news.go
@@ -20,12 +20,16 @@
 	maxCorrections = 8
 )
 
-// ConfigNews says that From has a configuration in force and can give it.
+// ConfigNews says how new From's configuration and its knowledge of backend
+// servers are; it can give the configuration.
 type ConfigNews struct {
 	From         ident.HostID
 	FromAddress  string // IP and port of From's peer listener
 	Generation   uint64
 	ManifestHash []byte
+	// ServersRevision is the store's revision up to which From knows the
+	// changes of backend servers; 0: it does not follow them.
+	ServersRevision uint64
 }
 
 // BackendNews says that one life of a backend server is leaving or gone.
@@ -63,7 +67,25 @@
 	if generation <= m.inForce.GetGeneration() {
 		return
 	}
-	m.inForce = &memberpb.ConfigNews{Generation: generation, ManifestHash: manifestHash}
+	m.announceNews(now, &memberpb.ConfigNews{
+		Generation: generation, ManifestHash: manifestHash, ServersRevision: m.inForce.GetServersRevision(),
+	})
+}
+
+// AnnounceServers tells peers up to which revision of the store this host
+// knows the changes of backend servers. A lower one is ignored.
+func (m *Membership) AnnounceServers(now time.Time, revision uint64) {
+	m.enter(now)
+	if revision <= m.inForce.GetServersRevision() {
+		return
+	}
+	m.announceNews(now, &memberpb.ConfigNews{
+		Generation: m.inForce.GetGeneration(), ManifestHash: m.inForce.GetManifestHash(), ServersRevision: revision,
+	})
+}
+
+func (m *Membership) announceNews(now time.Time, news *memberpb.ConfigNews) {
+	m.inForce = news
 	m.urgentConfig = true
 	m.schedulePush(now)
 }
@@ -280,7 +302,7 @@
 // applyConfig reports a newer configuration each time it is heard of until it
 // is announced here: the next message is the retry of a pull that failed.
 func (m *Membership) applyConfig(sender *memberpb.HostNews, news *memberpb.ConfigNews) {
-	if news.GetGeneration() <= m.inForce.GetGeneration() {
+	if news.GetGeneration() <= m.inForce.GetGeneration() && news.GetServersRevision() <= m.inForce.GetServersRevision() {
 		return
 	}
 	r := m.records[ident.HostID(sender.GetHost())]
@@ -292,6 +314,8 @@
 		FromAddress:  r.PeerAddress,
 		Generation:   news.Generation,
 		ManifestHash: news.ManifestHash,
+
+		ServersRevision: news.ServersRevision,
 	})
 }
 
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -52,10 +52,10 @@
 	// store's revision at that moment, from which a Watch continues.
 	List(ctx context.Context, prefix string) ([]Object, uint64, error)
 	// Watch waits until an object below the prefix has a revision above after,
-	// or ctx ends, and returns the changed objects and the revision to
-	// continue from; a deleted object has Version 0. ErrHistoryGone says that
-	// the store has forgotten what came after: List again. A waiting watch
-	// counts as one call to the platform.
+	// or ctx ends, and returns the changed objects and the revision to continue
+	// from; it may return none shortly before ctx ends. A deleted object has
+	// Version 0. ErrHistoryGone says that the store has forgotten what came
+	// after: List again. A waiting watch counts as one call to the platform.
 	Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error)
 }
 
--- a/observe/log.go
+++ b/observe/log.go
@@ -22,3 +22,12 @@
 	config.DisableStacktrace = true
 	return config.Build()
 }
+
+// Reason writes an error without the stack of where it was made, which costs
+// a page of log for each line.
+func Reason(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
