--- a/home/class.go
+++ b/home/class.go
@@ -33,7 +33,7 @@
 	times    meanTime
 	observed histogram
 	// quantiles of observed, refreshed every refreshEvery samples
-	slowTime, leastTime time.Duration
+	slowTime, typicalTime, leastTime time.Duration
 	sinceRefresh        int
 }
 
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -126,18 +126,19 @@
 	return now.Add(h.classes[l.Class].leastTime).Before(l.Deadline)
 }
 
-// demoteLate puts waiting legs that have missed the time they were due behind
-// those that can still make it.
+// demoteLate puts waiting legs that can't be answered by the time they are due
+// behind those that can.
 //
 // Load: more work than the service can do for seconds. Harm prevented: in the
-// order of arrival every leg waits until it is too late, and all answers lose
-// most of their worth; served last, the late ones cost the others nothing.
+// order of their due times each leg starts just too late, its answer is left
+// out, and a service at 105% of its load serves next to nothing in time. Served
+// last, the late ones cost the others nothing.
 func (h *Home) demoteLate(now time.Time) {
 	for i := range h.classes {
 		c := &h.classes[i]
 		for c.waiting.len() > 0 {
 			l := c.waiting.legs[0]
-			if !l.order.Before(l.Deadline) || l.order.After(now) {
+			if !l.order.Before(l.Deadline) || h.canMakeDue(c, l, now) {
 				break
 			}
 			c.waiting.removeAt(0)
@@ -147,6 +148,12 @@
 	}
 }
 
+// canMakeDue reports whether a leg that starts now is typically answered by the
+// time it is due.
+func (h *Home) canMakeDue(c *class, l *leg, now time.Time) bool {
+	return now.Add(c.typicalTime).Before(l.order)
+}
+
 // dropLate drops waiting legs whose answer would come too late: the slot is
 // for a leg that can still be answered.
 func (h *Home) dropLate(now time.Time, acts []Action) []Action {
--- /dev/null
+++ b/home/due_test.go
@@ -0,0 +1,66 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+func failedRun() End { return End{Outcome: result.OutcomeRan, Fault: backend.FaultServer} }
+
+// Screens see no picks in time while their service runs a little above its
+// capacity: each leg starts a moment before it is due, ends a moment after, and
+// is left out. The leg that can still make it must go first.
+func TestLegThatCannotMakeItsDueTimeGoesLast(t *testing.T) {
+	b := newBench(t, config(), 1)
+	b.practise(200) // the home learns the service time
+	b.withoutProbes()
+	for range config().SlotsPerServer {
+		b.submit(interactive, time.Second, true)
+	}
+	running := append([]Action(nil), b.running...)
+	typical := b.home.classes[interactive].typicalTime
+	b.is.True(typical > 0)
+	first, second := b.nextLeg(interactive, time.Second), b.nextLeg(interactive, 2*time.Second)
+	first.Due, second.Due = b.now.Add(typical/2), b.now.Add(20*typical)
+	late, timely := b.take(first), b.take(second)
+	started := kinds(b.finish(running[0], ran()), ActionStart)
+	b.is.Equal(started[0].Leg, timely) // though the other was due before it
+	started = kinds(b.finish(running[1], ran()), ActionStart)
+	b.is.Equal(started[0].Leg, late) // served all the same, with what is left
+}
+
+// A request may be sent to two servers at most. Both fail it; a third one of
+// the service must not run it as well.
+func TestLegIsNotSentToMoreServersThanAllowed(t *testing.T) {
+	b := newBench(t, config(), 3)
+	leg := b.nextLeg(interactive, time.Second)
+	leg.MaxServers, leg.Idempotent, leg.Forwarded = 2, true, true
+	b.take(leg)
+	again := kinds(b.finish(b.running[0], failedRun()), ActionStart)
+	b.is.Equal(len(again), 1)
+	acts := b.finish(again[0], failedRun())
+	b.is.Equal(len(kinds(acts, ActionStart)), 0)
+	b.is.Equal(len(kinds(acts, ActionFail)), 1)
+}
+
+// Each arrival beyond the first counts against the service's budget, refused
+// ones too. All servers refuse: once the budget is spent nothing is sent again.
+func TestRefusalsAreChargedWhereTheyCount(t *testing.T) {
+	cfg := config()
+	cfg.ChargeRefusals, cfg.RetryBurst, cfg.RetryBudget = true, 3, 0.0001
+	b := newBench(t, cfg, 2)
+	arrivals := 0
+	const legs = 20
+	for range legs {
+		b.submit(interactive, 2*time.Second, true)
+		for len(b.running) > 0 {
+			arrivals++
+			b.finish(b.running[0], shed())
+		}
+		b.pass(300 * time.Millisecond)
+	}
+	b.is.True(arrivals <= legs+3)
+}
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -11,6 +11,9 @@
 	// leastQuantile is the quantile taken for the shortest time in which a
 	// request can be answered.
 	leastQuantile = 0.05
+	// typicalQuantile is the quantile taken for the time that a request on a
+	// healthy server takes.
+	typicalQuantile = 0.5
 	// refreshEvery is after how many samples the quantiles are worked out anew.
 	refreshEvery = 64
 )
--- a/home/learn.go
+++ b/home/learn.go
@@ -75,6 +75,7 @@
 	}
 	c.sinceRefresh = 0
 	c.slowTime = slow
+	c.typicalTime, _ = c.observed.quantile(typicalQuantile)
 	c.leastTime, _ = c.observed.quantile(leastQuantile)
 }
 
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -157,12 +157,20 @@
 		Idempotent:  r.work.Idempotent,
 		Fingerprint: r.work.Fingerprint,
 		Body:        r.work.Body,
-		Due:         r.work.Target,
+		Due:         r.due(),
 		MaxServers:  r.work.MaxServers,
 		Forward:     r.work.Forward,
 	}
 }
 
+// due is when a leg's result must be there to go into an answer in time.
+func (r *run) due() time.Time {
+	if r.work.Target.IsZero() {
+		return time.Time{}
+	}
+	return TargetCutOff(r.work.Target, r.work.Started)
+}
+
 func (r *run) take(a arrival) {
 	r.times[a.position].Time = r.c.now().Sub(r.started)
 	r.times[a.position].Wait = a.result.Wait
