--- a/scatter/cutoff.go
+++ b/scatter/cutoff.go
@@ -29,10 +29,10 @@
 	// targetShare and targetFixed are the part of the time to the target that
 	// is kept for the ways from and to the caller, which its clock counts: two
 	// of the users' longest ways (3 ms), and a part for writing and a late timer.
-	targetShare = 0.08
-	targetFixed = 4 * time.Millisecond
+	targetShare = 0.05
+	targetFixed = 10 * time.Millisecond
 	// mostTargetReserve bounds the reserve of long targets.
-	mostTargetReserve = 12 * time.Millisecond
+	mostTargetReserve = 18 * time.Millisecond
 )
 
 // TargetCutOff is when a query that has the least coverage answers, so that
