--- a/gateway/config.go
+++ b/gateway/config.go
@@ -24,7 +24,7 @@
 	// for, in seconds of finish time: the way itself is a millisecond, the rest
 	// keeps the bytes, which the users pay for, within the zone while the near
 	// server has room.
-	zoneCost = 0.006
+	zoneCost = 0.015
 	// defaultSlots stands in for a server that does not say what it serves at once.
 	defaultSlots = 2
 	// maxQueue bounds the waiting parts of one class at one service: a second
