--- a/gateway/config.go
+++ b/gateway/config.go
@@ -25,6 +25,13 @@
 	// keeps the bytes, which the users pay for, within the zone while the near
 	// server has room.
 	zoneCost = 0.015
+	// warmAfter is how many answers a new server gives before it gets as much at
+	// once as the others. The users' servers are slow by 1.6 at first, and a
+	// service has two: keeping one of four slots idle for 16 answers lost more.
+	warmAfter = 1
+	// hedgeUnknownPart is the part of its target after which a class of which
+	// too little is known is hedged.
+	hedgeUnknownPart = 0.4
 	// defaultSlots stands in for a server that does not say what it serves at once.
 	defaultSlots = 2
 	// maxQueue bounds the waiting parts of one class at one service: a second
@@ -49,6 +56,7 @@
 	homes    *bundle.Config
 	shards   map[*route.Route]*snapshot.Snapshot
 	single   map[string]*snapshot.Snapshot // by service, for plain routes
+	targets  map[string]time.Duration      // by class
 }
 
 func newConfiguration(revision uint64, value []byte, config *route.Config) (*configuration, error) {
@@ -66,9 +74,11 @@
 		homes:    homes,
 		shards:   make(map[*route.Route]*snapshot.Snapshot),
 		single:   make(map[string]*snapshot.Snapshot),
+		targets:  make(map[string]time.Duration),
 	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
+		c.targets[className(r)] = r.Target
 		if r.AsksAll() {
 			c.shards[r] = newSnapshot(config.Version, r.Shards)
 		}
@@ -109,10 +119,11 @@
 	return docs
 }
 
-// className puts routes with the same limits into one class: their requests
-// are alike, and hundreds of routes share a few classes.
+// className puts routes with the same priority and target into one class: their
+// requests are alike, and hundreds of routes share a few classes. The timeout is
+// left out: an operator changes it, and what was measured of the class is kept.
 func className(r *route.Route) string {
-	return fmt.Sprintf("p%d-%v-%v", r.Priority, r.Target, r.Timeout)
+	return fmt.Sprintf("p%d-%v", r.Priority, r.Target)
 }
 
 // tune shares the budget of extra arrivals out: each host earns its own
@@ -126,6 +137,7 @@
 		config.HedgeBurst = max(1, hedgePart*slack)
 		config.RetryBurst = max(1, retryPart*slack)
 		config.ChargeRefusals = true
+		config.WarmAfter = warmAfter
 		config.ZoneCost = zoneCost
 	}
 }
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -27,7 +27,7 @@
 		share := (used - usedBefore).Seconds() / now.Sub(at).Seconds() / g.options.Processor
 		usedBefore, at = used, now
 		g.members.SetLoad(uint32(1000 * max(share, 0)))
-		g.log.Debug("load", zap.Float64("share", share))
+		g.log.Info("load", zap.Float64("share", share), zap.Strings("advised", g.Advise()))
 	}
 }
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/discover"
+	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
@@ -99,10 +100,24 @@
 
 func (g *Gateway) newHomes(counters *observe.Metrics) *homeserver.Server {
 	homes := homeserver.New(g.options.Backends, counters, trusting{}, g.options.Now, g.homesConfig)
-	homes.SetTune(g.options.Budget.tune(hostsSharing))
+	budget := g.options.Budget.tune(hostsSharing)
+	homes.SetTune(func(config *home.Config) {
+		budget(config)
+		g.setHedgeAges(config.Classes)
+	})
 	return homes
 }
 
+// setHedgeAges sets when classes of which too little is known are hedged.
+func (g *Gateway) setHedgeAges(classes []home.ClassSpec) {
+	c := g.inForce.Load()
+	for i := range classes {
+		if c != nil {
+			classes[i].HedgeUnknown = time.Duration(hedgeUnknownPart * float64(c.targets[classes[i].Name]))
+		}
+	}
+}
+
 func (g *Gateway) newCoordinator(homes *homeserver.Server, counters *observe.Metrics) *scatter.Coordinator {
 	local := localHomes{self: ident.HostID(g.options.Name), local: homes}
 	return scatter.NewCoordinator(local, counters, g.options.Now, func(string, string, []snapshot.Version) {})
@@ -134,6 +149,9 @@
 // Runner implements scatter.Homes.
 func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
 
+// Strained implements scatter.Homes.
+func (h localHomes) Strained(service string) bool { return h.local.Strained(service) }
+
 // trusting is a homeserver.Watcher that suspects no request.
 type trusting struct{}
 
--- a/home/class.go
+++ b/home/class.go
@@ -29,12 +29,13 @@
 	virtual float64
 	// long: the class's work takes much longer than that of an active other.
 	long     bool
+	pace     pace
 	lastSeen time.Time
 	times    meanTime
 	observed histogram
 	// quantiles of observed, refreshed every refreshEvery samples
 	slowTime, typicalTime, leastTime time.Duration
-	sinceRefresh        int
+	sinceRefresh                     int
 }
 
 func (c *class) weight() float64 { return max(c.spec.ReservedShare, leastWeight) }
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -21,6 +21,7 @@
 func (h *Home) dispatch(now time.Time, acts []Action) []Action {
 	h.survey(now)
 	h.demoteLate(now)
+	h.shedExcess(now)
 	acts = h.dropLate(now, acts)
 	acts = h.dropUnservable(now, acts)
 	h.queueHedges(now)
@@ -71,6 +72,9 @@
 		l.hedged = true
 	}
 	h.unqueue(l)
+	if !hedge {
+		c.pace.started(now, c.waiting.len())
+	}
 	h.nextAttempt++
 	a := &attempt{id: h.nextAttempt, leg: l, server: s, started: now, hedge: hedge, charged: c.prior(now)}
 	h.attempts[a.id] = a
@@ -138,12 +142,11 @@
 		c := &h.classes[i]
 		for c.waiting.len() > 0 {
 			l := c.waiting.legs[0]
-			if !l.order.Before(l.Deadline) || h.canMakeDue(c, l, now) {
+			if !l.timely() || h.canMakeDue(c, l, now) {
 				break
 			}
-			c.waiting.removeAt(0)
-			l.order = l.Deadline
-			c.waiting.insert(l)
+			h.strainedAt = now
+			c.putBack(l)
 		}
 	}
 }
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -13,7 +13,7 @@
 	leastQuantile = 0.05
 	// typicalQuantile is the quantile taken for the time that a request on a
 	// healthy server takes.
-	typicalQuantile = 0.5
+	typicalQuantile = 0.85
 	// refreshEvery is after how many samples the quantiles are worked out anew.
 	refreshEvery = 64
 )
@@ -28,7 +28,11 @@
 	if h.cfg.HedgeBudget <= 0 {
 		return 0
 	}
-	return time.Duration(float64(c.slowTime) * (1 + hedgeDelay*(1-h.hedgeBudget.Fill())))
+	slow := c.slowTime
+	if slow == 0 {
+		slow = c.spec.HedgeUnknown
+	}
+	return time.Duration(float64(slow) * (1 + hedgeDelay*(1-h.hedgeBudget.Fill())))
 }
 
 // queueHedges moves attempts that are past the hedge age into the queue of
--- a/home/home.go
+++ b/home/home.go
@@ -33,6 +33,8 @@
 	// Waiting legs go in the order of what they are due, and one that has
 	// missed it stands behind those that can still make it.
 	Due time.Time
+	// Optional: the query can do without this leg's answer.
+	Optional bool
 	// MaxServers bounds the servers that may run the leg; 0: no bound.
 	MaxServers int
 	// Forwarded requests are tried again on another server also after one that
@@ -94,6 +96,9 @@
 	Name          string
 	ReservedShare float64
 	MaxQueue      int
+	// HedgeUnknown is the age at which an attempt is hedged while too little is
+	// known of the class's service times; 0: not at all.
+	HedgeUnknown time.Duration
 }
 
 // Config holds the limits of one home.
@@ -111,6 +116,9 @@
 	// ChargeRefusals makes an attempt after a refusal cost a retry: for
 	// services whose operator counts each arrival beyond the first.
 	ChargeRefusals bool
+	// WarmAfter is how many answers a new server gives before it gets as much at
+	// once as the others; 0: warmAfter.
+	WarmAfter int
 	// ZoneCost is what a hop to another availability zone counts for, in
 	// seconds of finish time; 0: zoneCost.
 	ZoneCost float64
--- a/home/server.go
+++ b/home/server.go
@@ -35,6 +35,7 @@
 
 	draining     bool
 	warm         bool
+	warmAfter    int // answers
 	answers      int // since the start of its incarnation
 	refusals     int // in a row
 	shared       int // slots that seem to be this home's; 0: all
@@ -58,7 +59,10 @@
 		running: make([]*attempt, 0, slots+1),
 		times:   make([]meanTime, len(cfg.Classes)),
 		warm:    warm,
-		ahead:   ahead{nextProbe: now.Add(firstProbe)},
+
+		warmAfter: cfg.WarmAfter,
+
+		ahead: ahead{nextProbe: now.Add(firstProbe)},
 	}
 }
 
@@ -104,7 +108,7 @@
 	if s.warm || !anyWarm {
 		return limit
 	}
-	return min(limit, 1+s.answers*(s.slots-1)/warmAfter)
+	return min(limit, 1+s.answers*(s.slots-1)/s.warmAfter)
 }
 
 // cut lowers the slots this home counts on to what it had running when the
@@ -194,7 +198,7 @@
 // answered notes a reply to use: all suspicion ends.
 func (s *server) answered() {
 	s.answers++
-	if s.answers >= warmAfter {
+	if s.answers >= s.warmAfter {
 		s.warm = true
 	}
 	s.regained()
--- a/home/state.go
+++ b/home/state.go
@@ -29,7 +29,8 @@
 	bytes       int       // of waiting bodies
 	lastGood    time.Time // a server last gave an answer, or the first was known
 
-	decidedAt time.Time // of the last decision
+	decidedAt  time.Time // of the last decision
+	strainedAt time.Time // a leg was last put back for lack of capacity
 
 	// worked out by survey
 	totalSlots, usableCount int
@@ -46,6 +47,9 @@
 	if c.RetryBurst == 0 {
 		c.RetryBurst = retryBurst
 	}
+	if c.WarmAfter == 0 {
+		c.WarmAfter = warmAfter
+	}
 	if c.ZoneCost == 0 {
 		c.ZoneCost = zoneCost
 	}
--- a/homes.go
+++ b/homes.go
@@ -44,3 +44,6 @@
 	}
 	return h.remote.To(peer.PeerAddress), true
 }
+
+// Strained implements scatter.Homes. Of homes elsewhere nothing is known.
+func (h *homes) Strained(service string) bool { return h.local.Strained(service) }
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -209,6 +209,15 @@
 	return limits
 }
 
+// Strained reports whether this host is home of the service and lately had
+// more legs for it than could be answered in time.
+func (s *Server) Strained(service string) bool {
+	s.mu.RLock()
+	svc := s.services[service]
+	s.mu.RUnlock()
+	return svc != nil && svc.strained()
+}
+
 // Open counts the legs that are under way at this host's homes.
 func (s *Server) Open() int {
 	s.mu.RLock()
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -78,6 +78,7 @@
 			Fingerprint: request.Fingerprint,
 			Bytes:       len(request.Body),
 			Due:         request.Due,
+			Optional:    request.Optional,
 			MaxServers:  request.MaxServers,
 			Forwarded:   request.Forward != nil,
 		}, acts)
@@ -271,6 +272,12 @@
 	})
 }
 
+func (s *service) strained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.home.Strained(s.server.now())
+}
+
 func (s *service) open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -19,6 +19,9 @@
 	Of(service string) (first, second ident.HostID)
 	// Runner returns the way to a host; false when it isn't known any more.
 	Runner(host ident.HostID) (leg.Runner, bool)
+	// Strained reports whether the service is known to have more work than it
+	// can answer in time.
+	Strained(service string) bool
 }
 
 // Counter counts what became of the legs' results; the observe slice gives one.
@@ -64,6 +67,8 @@
 	results chan arrival
 	cancels []func()
 	sentTo  []ident.HostID
+	// optional shards are those that the query can do without, see optional.go.
+	optional []bool
 	moved   []bool // legs that went to the second home
 	maybe   []bool // of these, legs that may have run at the first
 	started time.Time
@@ -100,6 +105,7 @@
 	r.query = NewQuery(r.work.Plan)
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
+	r.chooseOptional()
 	for i := range shards {
 		first, _ := c.homes.Of(shards[i].Service)
 		r.send(i, first)
@@ -158,6 +164,7 @@
 		Fingerprint: r.work.Fingerprint,
 		Body:        r.work.Body,
 		Due:         r.due(),
+		Optional:    r.optional != nil && r.optional[i],
 		MaxServers:  r.work.MaxServers,
 		Forward:     r.work.Forward,
 	}
