--- a/entry/carriers.go
+++ b/entry/carriers.go
@@ -29,8 +29,9 @@
 // server a handshake each time; and hosts far from the servers send every part
 // of an answer across zones. With few hosts each knows nearly all that runs at
 // a server. Reasons for the limits: one host at least in each zone that holds
-// servers, two in all, and more as those get busy. Hosts that have served for
-// longest are taken first, so that a restart moves no callers but its own.
+// servers, two in all, and more as those get busy. The largest hosts are
+// taken first, and of these the ones that have served for longest, so that a
+// restart moves no callers but its own.
 func Carriers(view *member.View, serversIn map[string]int) []member.Host {
 	zones := nearZones(serversIn)
 	byZone := make(map[string][]member.Host)
@@ -78,9 +79,11 @@
 	return zones
 }
 
-// steadiest orders hosts that are not suspected first, then by age.
+// steadiest orders hosts that are not suspected first, then the larger ones,
+// then by age.
 func steadiest(a, b member.Host) int {
-	return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.ID, b.ID))
 }
 
 // wanted is how many hosts carry the load of the chosen ones at busyShare.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -138,6 +138,7 @@
 		config.RetryBurst = max(1, retryPart*slack)
 		config.ChargeRefusals = true
 		config.WarmAfter = warmAfter
+		config.ShareSlots = true
 		config.ZoneCost = zoneCost
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	StopWithin time.Duration
 	// Processor is the share of a core that this host has.
 	Processor float64
+	// Capacity is what this host can carry, in thousandths of a core: its
+	// processor, or less where its link is the narrower.
+	Capacity uint32
 
 	Store    metastore.Store
 	Backends backend.Runner
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -87,6 +87,7 @@
 				CallerAddress: g.options.CallerAddress,
 				Region:        g.options.Region,
 				Zone:          g.options.Zone,
+				Capacity:      g.options.Capacity,
 			},
 			Seeds: g.options.Seeds,
 		},
--- a/home/home.go
+++ b/home/home.go
@@ -119,6 +119,15 @@
 	// WarmAfter is how many answers a new server gives before it gets as much at
 	// once as the others; 0: warmAfter.
 	WarmAfter int
+	// ShareSlots leaves the slots that the servers report as used by others to
+	// them: for services that several hosts send to at once. With a home on one
+	// host the report only lags behind what the home knows itself.
+	//
+	// Load: three hosts send to servers of two slots, above their capacity. Harm
+	// prevented: each fills the slots and sends one ahead, and a server's own
+	// queue of seven, in the order of arrival, uses up a target of 200 ms. Each
+	// host keeps one, so that none is starved by the others.
+	ShareSlots bool
 	// ZoneCost is what a hop to another availability zone counts for, in
 	// seconds of finish time; 0: zoneCost.
 	ZoneCost float64
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -15,7 +15,7 @@
 	h.moveTimes(position, cfg)
 	for _, s := range h.servers {
 		s.slots = slotsOf(s.spec, &cfg)
-		s.warmAfter = cfg.WarmAfter
+		s.warmAfter, s.sharesSlots = cfg.WarmAfter, cfg.ShareSlots
 	}
 	h.hedgeBudget.Set(cfg.HedgeBudget, cfg.HedgeBurst)
 	h.retryBudget.Set(cfg.RetryBudget, cfg.RetryBurst)
--- a/home/server.go
+++ b/home/server.go
@@ -36,6 +36,7 @@
 	draining     bool
 	warm         bool
 	warmAfter    int // answers
+	sharesSlots  bool
 	answers      int // since the start of its incarnation
 	refusals     int // in a row
 	shared       int // slots that seem to be this home's; 0: all
@@ -60,7 +61,8 @@
 		times:   make([]meanTime, len(cfg.Classes)),
 		warm:    warm,
 
-		warmAfter: cfg.WarmAfter,
+		warmAfter:   cfg.WarmAfter,
+		sharesSlots: cfg.ShareSlots,
 
 		ahead: ahead{nextProbe: now.Add(firstProbe)},
 	}
@@ -169,9 +171,21 @@
 	if limit == s.slots && !long {
 		limit += s.ahead.allowed(now)
 	}
+	if s.sharesSlots {
+		limit = max(1, limit-s.othersNow(now))
+	}
 	return limit
 }
 
+// othersNow is how many requests of other hosts the server has, as far as its
+// report is fresh.
+func (s *server) othersNow(now time.Time) int {
+	if now.Sub(s.reportedAt) > reportLife {
+		return 0
+	}
+	return s.others
+}
+
 // drop takes an attempt that ended off the server; the others keep the order
 // in which they were sent.
 func (s *server) drop(a *attempt) {
--- a/member/record.go
+++ b/member/record.go
@@ -100,6 +100,7 @@
 	news.CallerAddress = r.CallerAddress
 	news.Region = r.Region
 	news.Zone = r.Zone
+	news.Capacity = r.Capacity
 	return news
 }
 
@@ -126,6 +127,7 @@
 	r.CallerAddress = news.CallerAddress
 	r.Region = news.Region
 	r.Zone = news.Zone
+	r.Capacity = news.Capacity
 	r.LoadPermille = 0
 	r.loadSequence = 0
 }
--- a/member/view.go
+++ b/member/view.go
@@ -45,6 +45,8 @@
 	Region        string
 	Zone          string // availability zone; its name is unique across regions
 	State         State
+	// Capacity is what the host can carry, in thousandths of a core; 0: not said.
+	Capacity uint32
 	// LoadPermille is the host's own measure of its load, in thousandths.
 	LoadPermille uint32
 }
