--- a/discover/follower.go
+++ b/discover/follower.go
@@ -20,7 +20,7 @@
 	// gets a call a second, and a host that is let in again knows it within one.
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = time.Second
-	// leastWait and mostWait bound how long one watch waits in a small fleet.
+	// leastWait and mostWait bound how long one watch waits.
 	//
 	// Failure: the store drops its history, or loses track of the watches, and
 	// they hear nothing of a change that was made meanwhile. The guard holds
@@ -28,47 +28,54 @@
 	// again is told, and the others hear of it from their peers.
 	leastWait = 2 * time.Second
 	mostWait  = 4 * time.Second
-	// smallFleet is the number of hosts up to which these hold; in a larger one
-	// each host waits longer in proportion, so that the calls of all together
-	// stay the same, and so does the time until the first one is told.
-	smallFleet = 8
-	// longestWait bounds the wait: the store takes no more than 30 s.
-	longestWait = 25 * time.Second
+	// roleCheck is how often a host that follows its peers looks whether it has
+	// to watch the store itself.
+	roleCheck = 500 * time.Millisecond
 )
 
 // Config is what a Follower needs.
 type Config struct {
 	Store  metastore.Store
+	Relay  *Relay
 	Prefix string
 	Now    func() time.Time
 	Logger *zap.Logger
 	// Apply hears each change, with all objects, on the Follower's goroutine,
 	// and the store's revision at which it holds.
 	Apply func(objects []metastore.Object, revision uint64)
-	// Hosts is how many hosts follow the same store; nil: this one only.
-	Hosts func() int
+	// Watches tells whether this host watches the store itself; the others
+	// follow their peers.
+	Watches func() bool
 	// Settle is how long changes are gathered before the next watch, so that a
 	// start of many servers costs each host a few calls; 0: not at all.
 	Settle time.Duration
 }
 
-// Follower keeps a Mirror of the objects below a prefix: one list, then
-// watches, and a new list whenever a watch can't be continued.
+// Hint says that peers know the changes up to a revision.
+type Hint struct {
+	Peers    []string // addresses of peers to ask, in this order
+	Revision uint64
+}
+
+// Follower keeps a Mirror of the objects below a prefix: one list, then watches
+// of the store or questions to peers, and a new list whenever a watch can't be
+// continued.
 type Follower struct {
 	config   Config
 	mirror   *Mirror
 	revision atomic.Uint64
 	listed   atomic.Bool
 	heardAt  atomic.Int64 // nanoseconds since 1970; 0: never
-	again    chan struct{}
+	known    atomic.Pointer[known]
+	hints    chan Hint
 }
 
 // NewFollower makes a follower; Run starts it.
 func NewFollower(config Config) *Follower {
-	return &Follower{config: config, mirror: NewMirror(), again: make(chan struct{}, 1)}
+	return &Follower{config: config, mirror: NewMirror(), hints: make(chan Hint, 1)}
 }
 
-// Listed reports whether the store has given a whole list.
+// Listed reports whether a whole list is known.
 func (f *Follower) Listed() bool { return f.listed.Load() }
 
 // HeardAt is when the store last answered; zero: never.
@@ -82,11 +89,11 @@
 // Revision is the store's revision up to which changes are known.
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
-// Again makes the follower list anew at once: a peer knows more than the
-// watch has told, so the watch has lost its other end.
-func (f *Follower) Again() {
+// Hear hands in a peer's word. One waits at most: it comes again with each
+// message between hosts.
+func (f *Follower) Hear(hint Hint) {
 	select {
-	case f.again <- struct{}{}:
+	case f.hints <- hint:
 	default:
 	}
 }
@@ -95,27 +102,75 @@
 func (f *Follower) Run(ctx context.Context) error {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		err := f.list(ctx)
-		for err == nil {
-			retry = firstRetry
-			err = f.watch(ctx)
-		}
+		err := f.followOnce(ctx, func() { retry = firstRetry })
 		if ctx.Err() != nil {
 			return nil
 		}
-		if errors.Is(err, errListAgain) || errors.Is(err, metastore.ErrHistoryGone) {
-			f.config.Logger.Info("listing anew", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err))
+		if errors.Is(err, metastore.ErrHistoryGone) {
+			f.config.Logger.Info("the store's history is gone, listing anew", f.where(err)...)
 			continue
 		}
 		f.mirror.Lost()
-		f.config.Logger.Warn("lost the metadata store", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err))
-		f.wait(ctx, retry)
+		f.config.Logger.Warn("lost the metadata store", f.where(err)...)
+		f.pause(ctx, retry)
 		retry = min(2*retry, mostRetry)
 	}
 	return nil
 }
 
-var errListAgain = errors.New("discover: a peer knows of a newer revision")
+func (f *Follower) where(err error) []zap.Field {
+	return []zap.Field{zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err)}
+}
+
+// followOnce lists and then follows the store or the peers, until an error.
+func (f *Follower) followOnce(ctx context.Context, well func()) error {
+	if !f.startFromPeers(ctx) {
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+	}
+	for ctx.Err() == nil {
+		well()
+		if f.config.Watches() {
+			if err := f.watch(ctx); err != nil {
+				return err
+			}
+			continue
+		}
+		f.config.Logger.Info("following peers", f.where(nil)...)
+		f.followPeers(ctx)
+		f.config.Logger.Info("watching the metadata store", f.where(nil)...)
+	}
+	return ctx.Err()
+}
+
+// peersWait is how long a host that starts waits for peers to tell it all:
+// one that joins a running fleet is told with the first message, and a fleet
+// that starts as a whole loses no more by it.
+const peersWait = 250 * time.Millisecond
+
+// startFromPeers takes the first list from peers, and reports whether one gave
+// it. Where all hosts start at once none can.
+func (f *Follower) startFromPeers(ctx context.Context) bool {
+	if f.Listed() {
+		return false // what follows a loss comes from the store
+	}
+	over := time.NewTimer(peersWait)
+	defer over.Stop()
+	for {
+		select {
+		case hint := <-f.hints:
+			if f.ask(ctx, hint) {
+				f.listed.Store(true)
+				return true
+			}
+		case <-over.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
 
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -126,10 +181,10 @@
 	}
 	regained := f.mirror.lost
 	f.heard()
-	f.revision.Store(max(revision, f.revision.Load()))
-	changed := f.mirror.Replace(f.config.Now(), objects)
+	f.advance(revision)
+	changed := f.mirror.Replace(f.config.Now(), objects, revision)
 	if !f.listed.Swap(true) || regained {
-		f.config.Logger.Info("listed from the metadata store", zap.String("prefix", f.config.Prefix), zap.Uint64("revision", revision), zap.Int("objects", len(objects)))
+		f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.Int("objects", len(objects)))...)
 		changed = true
 	}
 	f.apply(changed)
@@ -144,13 +199,10 @@
 
 // watch waits for the next change, doing what falls due meanwhile.
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, leastWait+rand.N(mostWait-leastWait))
 	defer cancel()
 	results := make(chan watched, 1)
-	wait := f.nextWait()
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, wait)
-		defer cancel()
 		objects, revision, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision.Load())
 		results <- watched{objects, revision, err}
 	}()
@@ -163,32 +215,76 @@
 				return w.err
 			}
 			f.heard()
-			f.revision.Store(max(f.revision.Load(), w.revision))
-			f.apply(f.mirror.Change(f.config.Now(), w.objects))
+			f.advance(w.revision)
+			f.apply(f.mirror.Change(f.config.Now(), w.objects, w.revision))
 			f.settle(ctx, len(w.objects))
 			return nil
 		case <-timer.C:
-			f.apply(f.mirror.Tick(f.config.Now()))
-		case <-f.again:
+			f.tick()
+		case hint := <-f.hints:
 			timer.Stop()
-			return errListAgain
+			if f.ask(ctx, hint) {
+				return nil // the watch began before what is known now
+			}
 		}
 	}
 }
 
-// nextWait draws how long the next watch waits.
-func (f *Follower) nextWait() time.Duration {
-	wait := leastWait + rand.N(mostWait-leastWait)
-	if f.config.Hosts != nil {
-		wait = wait * time.Duration(max(f.config.Hosts(), smallFleet)) / smallFleet
+// followPeers takes changes from peers until this host has to watch itself.
+func (f *Follower) followPeers(ctx context.Context) {
+	for ctx.Err() == nil && !f.config.Watches() {
+		timer := time.NewTimer(min(roleCheck, f.untilTick()))
+		select {
+		case hint := <-f.hints:
+			f.ask(ctx, hint)
+		case <-timer.C:
+			f.tick()
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// ask takes what peers know and reports whether that was something new.
+func (f *Follower) ask(ctx context.Context, hint Hint) bool {
+	own := f.revision.Load()
+	for _, address := range hint.Peers {
+		if hint.Revision <= f.revision.Load() {
+			break
+		}
+		got, err := f.config.Relay.ask(ctx, address, f.config.Prefix, f.revision.Load())
+		if err != nil {
+			f.config.Logger.Warn("a peer did not tell what has changed", append(f.where(err), zap.Uint64("peers_revision", hint.Revision))...)
+			continue
+		}
+		f.take(got, address)
 	}
-	return min(wait, longestWait)
+	return f.revision.Load() > own
+}
+
+// take takes a peer's changes in.
+func (f *Follower) take(got changes, address string) {
+	if got.revision <= f.revision.Load() {
+		return
+	}
+	f.advance(got.revision)
+	changed := false
+	if got.whole {
+		changed = f.mirror.Replace(f.config.Now(), got.objects, got.revision)
+	} else {
+		for _, key := range got.removed {
+			got.objects = append(got.objects, metastore.Object{Key: key})
+		}
+		changed = f.mirror.Change(f.config.Now(), got.objects, got.revision)
+	}
+	f.config.Logger.Info("heard from a peer", append(f.where(nil), zap.String("peer", address), zap.Bool("changed", changed))...)
+	f.apply(changed)
 }
 
 // settle lets more changes gather after some have come.
 func (f *Follower) settle(ctx context.Context, changes int) {
 	if changes > 0 && f.config.Settle > 0 {
-		f.wait(ctx, f.config.Settle)
+		f.pause(ctx, f.config.Settle)
 	}
 }
 
@@ -203,20 +299,36 @@
 	return max(next.Sub(f.config.Now()), 0)
 }
 
-// wait pauses before the next list, doing what falls due meanwhile.
-func (f *Follower) wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-time.After(pause):
-	case <-f.again:
-	case <-ctx.Done():
+// pause waits, doing what falls due meanwhile.
+func (f *Follower) pause(ctx context.Context, wait time.Duration) {
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	for {
+		select {
+		case <-over.C:
+			f.tick()
+			return
+		case hint := <-f.hints:
+			f.ask(ctx, hint)
+		case <-ctx.Done():
+			return
+		}
 	}
-	f.apply(f.mirror.Tick(f.config.Now()))
 }
 
+func (f *Follower) tick() { f.apply(f.mirror.Tick(f.config.Now(), f.revision.Load())) }
+
 func (f *Follower) heard() { f.heardAt.Store(f.config.Now().UnixNano()) }
 
+func (f *Follower) advance(revision uint64) {
+	f.revision.Store(max(revision, f.revision.Load()))
+}
+
 func (f *Follower) apply(changed bool) {
-	if changed {
-		f.config.Apply(f.mirror.Objects(), f.revision.Load())
+	if !changed {
+		return
 	}
+	revision := f.revision.Load()
+	f.known.Store(f.mirror.known(revision))
+	f.config.Apply(f.mirror.Objects(), revision)
 }
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -4,6 +4,7 @@
 package discover
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -23,13 +24,17 @@
 	// removing holds when a missing object is dropped.
 	removing map[string]time.Time
 	lost     bool
+	// gone holds at which revision of the store objects were found gone, for
+	// peers; it is complete for those after goneSince.
+	gone      map[string]uint64
+	goneSince uint64
 	// doubtUntil: removals before it are held back until then.
 	doubtUntil time.Time
 }
 
 // NewMirror makes an empty mirror.
 func NewMirror() *Mirror {
-	return &Mirror{objects: make(map[string]metastore.Object), removing: make(map[string]time.Time)}
+	return &Mirror{objects: make(map[string]metastore.Object), removing: make(map[string]time.Time), gone: make(map[string]uint64)}
 }
 
 // Lost notes that the store can't be heard.
@@ -48,8 +53,8 @@
 	}
 }
 
-// Replace takes in a whole list and reports whether anything changed.
-func (m *Mirror) Replace(now time.Time, listed []metastore.Object) bool {
+// Replace takes in a whole list, which holds at the revision, and reports whether anything changed.
+func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision uint64) bool {
 	m.heard(now)
 	changed := false
 	present := make(map[string]bool, len(listed))
@@ -59,19 +64,19 @@
 	}
 	for key := range m.objects {
 		if !present[key] {
-			changed = m.remove(now, key) || changed
+			changed = m.remove(now, key, revision) || changed
 		}
 	}
 	return changed
 }
 
-// Change takes in changed objects and reports whether anything changed.
-func (m *Mirror) Change(now time.Time, objects []metastore.Object) bool {
+// Change takes in changed objects up to the revision and reports whether anything changed.
+func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision uint64) bool {
 	m.heard(now)
 	changed := false
 	for _, object := range objects {
 		if object.Version == 0 {
-			changed = m.remove(now, object.Key) || changed
+			changed = m.remove(now, object.Key, revision) || changed
 			continue
 		}
 		changed = m.set(object) || changed
@@ -83,6 +88,7 @@
 // that was long on its way must not bring an old configuration back.
 func (m *Mirror) set(object metastore.Object) bool {
 	delete(m.removing, object.Key)
+	delete(m.gone, object.Key)
 	held, known := m.objects[object.Key]
 	if known && object.Revision <= held.Revision {
 		return false
@@ -91,7 +97,7 @@
 	return true
 }
 
-func (m *Mirror) remove(now time.Time, key string) bool {
+func (m *Mirror) remove(now time.Time, key string, revision uint64) bool {
 	if _, known := m.objects[key]; !known {
 		return false
 	}
@@ -101,18 +107,30 @@
 		}
 		return false
 	}
+	m.drop(key, revision)
+	return true
+}
+
+// mostGone bounds the removals that are remembered: a release of all servers of
+// the largest deployment played. A peer further behind gets everything.
+const mostGone = 4096
+
+func (m *Mirror) drop(key string, revision uint64) {
 	delete(m.removing, key)
 	delete(m.objects, key)
-	return true
+	if len(m.gone) >= mostGone {
+		clear(m.gone)
+		m.goneSince = revision
+	}
+	m.gone[key] = revision
 }
 
 // Tick drops what was held back for long enough and reports whether it did.
-func (m *Mirror) Tick(now time.Time) bool {
+func (m *Mirror) Tick(now time.Time, revision uint64) bool {
 	changed := false
 	for key, at := range m.removing {
 		if !now.Before(at) {
-			delete(m.removing, key)
-			delete(m.objects, key)
+			m.drop(key, revision)
 			changed = true
 		}
 	}
@@ -139,3 +157,8 @@
 	slices.SortFunc(list, func(a, b metastore.Object) int { return strings.Compare(a.Key, b.Key) })
 	return list
 }
+
+// known is a copy for peers.
+func (m *Mirror) known(revision uint64) *known {
+	return &known{revision: revision, objects: m.Objects(), removed: maps.Clone(m.gone), since: m.goneSince}
+}
--- a/discover/relay.go
+++ b/discover/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,56 +15,76 @@
 // askTimeout bounds asking one peer; the next news brings another one.
 const askTimeout = time.Second
 
-// Relay passes the newest object between hosts, so that a host that the store
-// turns away, or whose watch has lost its other end, is not behind the others.
+// Relay passes what hosts have read from the store between them. With it few
+// hosts watch the store for all, and a host that the store turns away, or whose
+// watch has lost its other end, is not behind the others.
 type Relay struct {
-	pool   *peer.Pool
-	newest atomic.Pointer[metastore.Object]
-	asking atomic.Bool
+	pool      *peer.Pool
+	followers map[string]*Follower // by prefix
+	packer    packer
 }
 
 // NewRelay makes a relay that asks peers through the pool.
-func NewRelay(pool *peer.Pool) *Relay { return &Relay{pool: pool} }
+func NewRelay(pool *peer.Pool) *Relay {
+	return &Relay{pool: pool, followers: make(map[string]*Follower)}
+}
 
-// Register registers the relay for peers.
-func (r *Relay) Register(mux drpc.Mux) error {
+// Register registers the relay for peers and for the followers that it serves.
+func (r *Relay) Register(mux drpc.Mux, followers ...*Follower) error {
+	for _, f := range followers {
+		r.followers[f.config.Prefix] = f
+	}
 	return errors.Wrap(discoverpb.DRPCRegisterRelay(mux, r), "register relay")
 }
 
-// Offer makes the object the one that peers get.
-func (r *Relay) Offer(object metastore.Object) { r.newest.Store(&object) }
-
-// Newest implements the service.
-func (r *Relay) Newest(_ context.Context, request *discoverpb.NewestRequest) (*discoverpb.NewestReply, error) {
-	newest := r.newest.Load()
-	if newest == nil || newest.Revision <= request.GetAbove() {
-		return &discoverpb.NewestReply{}, nil
+// Changes implements the service.
+func (r *Relay) Changes(_ context.Context, request *discoverpb.ChangesRequest) (*discoverpb.ChangesReply, error) {
+	f := r.followers[request.GetPrefix()]
+	if f == nil {
+		return nil, errors.Errorf("discover: nothing is followed below %q", request.GetPrefix())
+	}
+	known := f.known.Load()
+	if known == nil || known.revision <= request.GetAfter() {
+		return &discoverpb.ChangesReply{}, nil
 	}
-	return &discoverpb.NewestReply{Revision: newest.Revision, Value: newest.Value}, nil
+	changes := known.after(request.GetAfter())
+	reply := &discoverpb.ChangesReply{Revision: changes.revision, Whole: changes.whole, Removed: changes.removed}
+	for _, object := range changes.objects {
+		sent := &discoverpb.Object{
+			Key: object.Key, Value: object.Value, Version: object.Version, Revision: object.Revision,
+		}
+		if len(object.Value) >= packFrom {
+			packed, err := r.packer.pack(object)
+			if err != nil {
+				return nil, err
+			}
+			sent.Value, sent.Packed = packed, true
+		}
+		reply.Objects = append(reply.Objects, sent)
+	}
+	return reply, nil
 }
 
-// ErrNothingNewer: the peer knows nothing above the asked revision.
-var ErrNothingNewer = errors.New("discover: the peer knows nothing newer")
-
-// ErrAsking: another question is on its way.
-var ErrAsking = errors.New("discover: a peer is being asked already")
-
-// Ask asks the peer at the address for an object above the revision. One
-// question runs at a time: news comes with each message between hosts.
-func (r *Relay) Ask(ctx context.Context, address string, above uint64) (metastore.Object, error) {
-	if !r.asking.CompareAndSwap(false, true) {
-		return metastore.Object{}, ErrAsking
-	}
-	defer r.asking.Store(false)
+// ask asks a peer for what has changed; revision 0: the peer knows nothing newer.
+func (r *Relay) ask(ctx context.Context, address, prefix string, after uint64) (changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	client := discoverpb.NewDRPCRelayClient(r.pool.Conn(ctx, address))
-	reply, err := client.Newest(ctx, &discoverpb.NewestRequest{Above: above})
+	reply, err := client.Changes(ctx, &discoverpb.ChangesRequest{Prefix: prefix, After: after})
 	if err != nil {
-		return metastore.Object{}, errors.Wrapf(err, "ask %s", address)
+		return changes{}, errors.Wrapf(err, "ask %s", address)
 	}
-	if reply.GetRevision() <= above {
-		return metastore.Object{}, ErrNothingNewer
+	got := changes{revision: reply.GetRevision(), whole: reply.GetWhole(), removed: reply.GetRemoved()}
+	for _, object := range reply.GetObjects() {
+		value := object.GetValue()
+		if object.GetPacked() {
+			if value, err = unpack(value); err != nil {
+				return changes{}, errors.Wrapf(err, "%s from %s", object.GetKey(), address)
+			}
+		}
+		got.objects = append(got.objects, metastore.Object{
+			Key: object.GetKey(), Value: value, Version: object.GetVersion(), Revision: object.GetRevision(),
+		})
 	}
-	return metastore.Object{Value: reply.GetValue(), Version: reply.GetRevision(), Revision: reply.GetRevision()}, nil
+	return got, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,12 +98,11 @@
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
 	// serversAt is the store's revision of the newest change of the servers.
-	serversAt  atomic.Uint64
-	catchingUp atomic.Bool
-	events     chan func() // for the control loop
+	serversAt atomic.Uint64
+	events    chan func() // for the control loop
 
 	// owned by the servers' follower
-	serverStates map[string]ServerEntry
+	serverStates map[string]serverState // by key
 }
 
 // New makes a gateway; Run starts it.
@@ -112,7 +111,7 @@
 		options:      options,
 		log:          options.Logger,
 		events:       make(chan func(), eventQueue),
-		serverStates: make(map[string]ServerEntry),
+		serverStates: make(map[string]serverState),
 	}
 	if err := g.build(); err != nil {
 		return nil, err
@@ -217,7 +216,6 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
-	g.relay.Offer(object)
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
 		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -4,8 +4,6 @@
 	"context"
 	"syscall"
 	"time"
-
-	"go.uber.org/zap"
 )
 
 // loadEvery is how often the host measures its own load.
@@ -27,7 +25,6 @@
 		share := (used - usedBefore).Seconds() / now.Sub(at).Seconds() / g.options.Processor
 		usedBefore, at = used, now
 		g.members.SetLoad(uint32(1000 * max(share, 0)))
-		g.log.Info("load", zap.Float64("share", share), zap.Strings("advised", g.Advise()))
 	}
 }
 
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -1,24 +1,47 @@
 package gateway
 
 import (
-	"context"
+	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"github.com/goldcrestspan/goldcrestspan/discover"
+	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
-	"github.com/goldcrestspan/goldcrestspan/metastore"
-	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
+const (
+	// watchersPerZone hosts of each availability zone watch the store: one may
+	// be lost, and another may be starting, without the zone going blind.
+	watchersPerZone = 3
+	// watchAllUpTo is the size of a fleet in which all hosts do.
+	watchAllUpTo = 8
+)
+
+// watches tells whether this host watches the store itself. In a large fleet
+// most follow the watchers of their zone: each change would otherwise wake
+// every host's watch, and each of these is a call to the store. A host that
+// hears no peer, or has lost half of them, watches for itself.
+func (g *Gateway) watches() bool {
+	view := g.members.View()
+	if len(view.Hosts) <= watchAllUpTo || view.Minority || !g.members.Joined() {
+		return true
+	}
+	if g.options.Now().Sub(g.members.PeerHeardAt()) > peerSilence {
+		return true
+	}
+	return view.IsWatcher(g.options.Zone, watchersPerZone)
+}
+
+// peerSilence is how long no peer may answer before a host watches itself: two
+// of the probes that it sends each half second were lost.
+const peerSilence = 1200 * time.Millisecond
+
 // announce tells the peers how new this host's knowledge is.
 //
 // Failure: a host's watch has lost its other end, or the store turns the host
 // away. It shows as nothing at all: the host serves on with what it knew. The
 // guard holds because every message between hosts carries these revisions, so
-// one host that hears the store makes all others ask, the store or it.
+// one host that hears the store makes all others ask.
 func (g *Gateway) announce() {
 	if c := g.inForce.Load(); c != nil {
 		g.members.AnnounceConfig(c.revision, nil)
@@ -26,48 +49,30 @@
 	g.members.AnnounceServers(g.serversAt.Load())
 }
 
-// newsPatience is how long a host that hears of a newer change waits for its
-// own watch to tell it: the store wakes all watches at once, and changes of
-// backend servers are gathered for a quarter of a second.
-const newsPatience = 400 * time.Millisecond
-
 // heardNews hears what a peer knows; it runs on the members' control loop.
 func (g *Gateway) heardNews(news member.ConfigNews) {
-	if !g.catchingUp.CompareAndSwap(false, true) {
-		return // the news comes again with the next message
+	peers := g.peersToAsk(news)
+	g.servers.Hear(discover.Hint{Peers: peers, Revision: news.ServersRevision})
+	g.configs.Hear(discover.Hint{Peers: peers, Revision: news.Generation})
+	if known := g.servers.Revision(); known >= news.ServersRevision {
+		g.serversAt.Store(max(g.serversAt.Load(), news.ServersRevision)) // known already, without a change
+		g.announce()
 	}
-	time.AfterFunc(newsPatience, func() {
-		defer g.catchingUp.Store(false)
-		g.catchUp(news)
-	})
 }
 
-func (g *Gateway) catchUp(news member.ConfigNews) {
-	if news.ServersRevision > g.servers.Revision() {
-		g.log.Info("a peer knows more of the backend servers", zap.String("peer", string(news.From)), zap.Uint64("revision", news.ServersRevision), zap.Uint64("own", g.servers.Revision()))
-		g.servers.Again()
-	} else {
-		g.members.AnnounceServers(g.servers.Revision()) // known already, without a change
-	}
-	above := uint64(0)
-	if c := g.inForce.Load(); c != nil {
-		above = c.revision
-	}
-	if news.Generation <= above {
-		return
+// peersToAsk are the watchers of the own zone, in any order, and last the host
+// that told the news: bytes between zones are dear, and a configuration of a
+// thousand routes goes to every host.
+func (g *Gateway) peersToAsk(news member.ConfigNews) []string {
+	view := g.members.View()
+	watchers := view.Watchers(g.options.Zone, watchersPerZone)
+	rand.Shuffle(len(watchers), func(i, j int) { watchers[i], watchers[j] = watchers[j], watchers[i] })
+	var peers []string
+	for _, id := range append(watchers, news.From) {
+		host, ok := view.Find(id)
+		if ok && id != ident.HostID(g.options.Name) {
+			peers = append(peers, host.PeerAddress)
+		}
 	}
-	g.configs.Again()
-	object, err := g.relay.Ask(context.Background(), news.FromAddress, above)
-	switch {
-	case errors.Is(err, discover.ErrNothingNewer):
-	case err != nil:
-		g.log.Warn("a peer did not give its configuration", zap.String("peer", string(news.From)), zap.Uint64("revision", news.Generation), observe.Reason(err))
-	default:
-		g.fromPeer(object, string(news.From))
-	}
-}
-
-func (g *Gateway) fromPeer(object metastore.Object, peer string) {
-	object.Key = g.options.ConfigKey
-	g.post(func() { g.applyConfig(object, "peer "+peer) })
+	return peers
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -69,12 +69,9 @@
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	if err := g.relay.Register(g.peers.Mux()); err != nil {
-		return err
-	}
 	g.configs = g.newFollower(g.options.ConfigKey, 0, g.applyConfigs)
 	g.servers = g.newFollower(g.options.ServersPrefix, serversSettle, g.applyServers)
-	return nil
+	return g.relay.Register(g.peers.Mux(), g.configs, g.servers)
 }
 
 func (g *Gateway) newMembers(pool *peer.Pool, registry *prometheus.Registry) *member.Agent {
@@ -131,8 +128,7 @@
 func (g *Gateway) newFollower(prefix string, settle time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
-		Hosts:  func() int { return len(g.members.View().Hosts) },
-		Settle: settle,
+		Relay: g.relay, Watches: g.watches, Settle: settle,
 	})
 }
 
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -18,23 +18,46 @@
 	PeerAddress string `json:"peer_address"`
 }
 
-// registerRetry is the pause after a write or list that failed.
-const registerRetry = time.Second
+const (
+	// registerRetry is the pause after a write or list that failed.
+	registerRetry = time.Second
+	// joinWait is how long a host waits to be let in by the peers of its
+	// settings before it asks the store for others.
+	joinWait = 2 * time.Second
+	// watcherCheck is how often a host looks whether it is one of the hosts to
+	// stand in the store.
+	watcherCheck = 5 * time.Second
+)
 
-// register writes this host's entry and takes the others' as addresses to
-// join at; both once, so the store sees a few calls for each start of a host.
+// register writes this host's entry, once, if it is one of those that watch the
+// store, and asks for the others' when no peer of the settings answers. The
+// store so sees a few calls for each start of a fleet, however large.
 func (g *Gateway) register(ctx context.Context) error {
-	for {
+	wait := joinWait
+	for sleep(ctx, wait) {
+		wait = watcherCheck
+		if !g.watches() {
+			continue
+		}
 		err := g.registerOnce(ctx)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
 			return nil
 		}
 		g.log.Warn("registration failed and is tried again", observe.Reason(err))
-		select {
-		case <-time.After(registerRetry):
-		case <-ctx.Done():
-			return nil
-		}
+		wait = registerRetry
+	}
+	return nil
+}
+
+// sleep waits and reports whether ctx has not ended.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -22,19 +22,25 @@
 	Cold bool
 }
 
-// applyServers takes the entries of all backend servers in.
+// serverState is an entry as it was decoded last.
+type serverState struct {
+	revision uint64 // of the object
+	entry    ServerEntry
+	valid    bool
+}
+
+// applyServers takes the entries of all backend servers in. Only those that
+// have changed are decoded: hundreds of servers change one by one, on hosts
+// with a fifth of a core.
 func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
 	known := make(map[string][]homeserver.Known)
 	zones := make(map[string]int)
-	lives := make(map[string]bool, len(objects))
 	for _, object := range objects {
-		entry, err := g.options.Decode.Server(object)
-		if err != nil {
-			g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
+		state := g.decodeServer(object)
+		if !state.valid {
 			continue
 		}
-		g.noteServer(entry, object.Revision)
-		lives[entry.Name] = true
+		entry := state.entry
 		known[entry.Service] = append(known[entry.Service], homeserver.Known{
 			Server: backend.Server{
 				Name: entry.Name, Address: entry.Address, Service: entry.Service,
@@ -49,26 +55,46 @@
 			zones[entry.Zone]++
 		}
 	}
-	for name := range g.serverStates {
-		if !lives[name] {
-			delete(g.serverStates, name)
-			g.log.Info("backend server is gone", zap.String("server", name))
-		}
-	}
+	g.dropServers(objects)
 	g.zones.Store(&zones)
 	g.homes.SetServers(known)
 	g.serversAt.Store(revision)
 	g.announce()
 }
 
-// noteServer writes a line when what is believed of a server changes.
-func (g *Gateway) noteServer(entry ServerEntry, revision uint64) {
-	before, seen := g.serverStates[entry.Name]
-	g.serverStates[entry.Name] = entry
-	if seen && before == entry {
+// decodeServer decodes an entry if it has changed, and writes a line about it.
+func (g *Gateway) decodeServer(object metastore.Object) serverState {
+	before, seen := g.serverStates[object.Key]
+	if seen && before.revision == object.Revision {
+		return before
+	}
+	entry, err := g.options.Decode.Server(object)
+	state := serverState{revision: object.Revision, entry: entry, valid: err == nil}
+	g.serverStates[object.Key] = state
+	switch {
+	case err != nil:
+		g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
+	case !seen || before.entry != entry:
+		g.log.Info("backend server", zap.String("server", entry.Name), zap.String("service", entry.Service),
+			zap.String("address", entry.Address), zap.String("zone", entry.Zone),
+			zap.Bool("leaving", entry.Leaving), zap.Bool("cold", entry.Cold), zap.Uint64("revision", object.Revision))
+	}
+	return state
+}
+
+// dropServers forgets the servers that are no longer among the objects.
+func (g *Gateway) dropServers(objects []metastore.Object) {
+	if len(g.serverStates) == len(objects) {
 		return
 	}
-	g.log.Info("backend server", zap.String("server", entry.Name), zap.String("service", entry.Service),
-		zap.String("address", entry.Address), zap.String("zone", entry.Zone),
-		zap.Bool("leaving", entry.Leaving), zap.Bool("cold", entry.Cold), zap.Uint64("revision", revision))
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.Key] = true
+	}
+	for key, state := range g.serverStates {
+		if !listed[key] {
+			delete(g.serverStates, key)
+			g.log.Info("backend server is gone", zap.String("server", state.entry.Name), zap.String("service", state.entry.Service))
+		}
+	}
 }
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -4,6 +4,7 @@
 package homeserver
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,11 +113,13 @@
 // SetServers tells which backend servers each service has.
 func (s *Server) SetServers(known map[string][]Known) {
 	s.mu.Lock()
-	s.known = known
 	open := make([]*service, 0, len(s.services))
-	for _, svc := range s.services {
-		open = append(open, svc)
+	for name, svc := range s.services {
+		if !slices.Equal(known[name], s.known[name]) {
+			open = append(open, svc)
+		}
 	}
+	s.known = known
 	s.mu.Unlock()
 	for _, svc := range open {
 		svc.setServers(known[svc.name])
--- a/member/view.go
+++ b/member/view.go
@@ -81,6 +81,11 @@
 	return v.Hosts[i], true
 }
 
+// IsWatcher reports whether the local host is one of the zone's n watchers.
+func (v *View) IsWatcher(zone string, n int) bool {
+	return slices.Contains(v.Watchers(zone, n), v.Self)
+}
+
 // Watchers returns the at most n serving hosts of the availability zone that
 // watch the platform's store for the others. Rendezvous hashing keeps the
 // choice stable: one host that comes or goes changes at most one watcher.
--- a/parts_control.go
+++ b/parts_control.go
@@ -50,7 +50,7 @@
 		Store:      store,
 		Peers:      pool,
 		Signers:    signers,
-		IsWatcher:  func() bool { return isWatcher(members.View(), s.Host.Zone) },
+		IsWatcher:  func() bool { return members.View().IsWatcher(s.Host.Zone, watchersPerZone) },
 		PeersFn:    func() []string { return livePeers(members.View(), s.Peers) },
 		Now:        now,
 		Logger:     log,
@@ -63,15 +63,6 @@
 // be lost, and another may be starting, without the zone going blind.
 const watchersPerZone = 3
 
-func isWatcher(view *member.View, zone string) bool {
-	for _, id := range view.Watchers(zone, watchersPerZone) {
-		if id == view.Self {
-			return true
-		}
-	}
-	return false
-}
-
 // livePeers are the peers' listeners of the other serving hosts; before any is
 // known, the addresses of the settings.
 func livePeers(view *member.View, seeds []string) []string {
--- a/parts_traffic.go
+++ b/parts_traffic.go
@@ -90,7 +90,7 @@
 		List:      list,
 		Sink:      sink,
 		Peers:     pool,
-		IsWatcher: func() bool { return isWatcher(members.View(), s.Host.Zone) },
+		IsWatcher: func() bool { return members.View().IsWatcher(s.Host.Zone, watchersPerZone) },
 		Watchers:  func() []string { return watchersOf(members.View(), s.Host.Zone, s.Peers) },
 		Epoch:     uint64(incarnation),
 		Log:       log,
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -69,11 +69,11 @@
 	sentTo  []ident.HostID
 	// optional shards are those that the query can do without, see optional.go.
 	optional []bool
-	moved   []bool // legs that went to the second home
-	maybe   []bool // of these, legs that may have run at the first
-	started time.Time
-	times   []LegTime
-	ended   atomic.Bool
+	moved    []bool // legs that went to the second home
+	maybe    []bool // of these, legs that may have run at the first
+	started  time.Time
+	times    []LegTime
+	ended    atomic.Bool
 }
 
 type arrival struct {
