--- a/discover/follower.go
+++ b/discover/follower.go
@@ -268,6 +268,7 @@
 		return
 	}
 	f.advance(got.revision)
+	f.mirror.Doubt(f.config.Now().Add(got.doubt))
 	changed := false
 	if got.whole {
 		changed = f.mirror.Replace(f.config.Now(), got.objects, got.revision)
@@ -316,7 +317,7 @@
 	}
 }
 
-func (f *Follower) tick() { f.apply(f.mirror.Tick(f.config.Now(), f.revision.Load())) }
+func (f *Follower) tick() { f.apply(f.mirror.Tick(f.config.Now())) }
 
 func (f *Follower) heard() { f.heardAt.Store(f.config.Now().UnixNano()) }
 
--- a/discover/known.go
+++ b/discover/known.go
@@ -1,6 +1,10 @@
 package discover
 
-import "github.com/goldcrestspan/goldcrestspan/metastore"
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+)
 
 // known is what a host believes at one revision of the store, for its peers. It
 // is immutable.
@@ -11,6 +15,8 @@
 	// it is complete for removals after since.
 	removed map[string]uint64
 	since   uint64
+	// doubtUntil: removals may be undone until then, see Mirror.Lost.
+	doubtUntil time.Time
 }
 
 // changes are what a host lacks.
@@ -19,6 +25,8 @@
 	whole    bool // objects are all there are
 	objects  []metastore.Object
 	removed  []string
+	// doubt is for how long removals may still be undone.
+	doubt time.Duration
 }
 
 // after lists what has changed after a revision, or everything for a host that
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// Replace takes in a whole list, which holds at the revision, and reports whether anything changed.
+// Replace takes in a whole list, which holds at the revision, and reports
+// whether there is anything new for this host or for peers.
 func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision uint64) bool {
 	m.heard(now)
 	changed := false
@@ -70,7 +71,8 @@
 	return changed
 }
 
-// Change takes in changed objects up to the revision and reports whether anything changed.
+// Change takes in changed objects up to the revision and reports whether there
+// is anything new for this host or for peers.
 func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision uint64) bool {
 	m.heard(now)
 	changed := false
@@ -102,12 +104,15 @@
 		return false
 	}
 	if now.Before(m.doubtUntil) {
-		if _, waits := m.removing[key]; !waits {
-			m.removing[key] = m.doubtUntil
+		if _, waits := m.removing[key]; waits {
+			return false
 		}
-		return false
+		m.removing[key] = m.doubtUntil
+		m.remember(key, revision)
+		return true
 	}
-	m.drop(key, revision)
+	m.drop(key)
+	m.remember(key, revision)
 	return true
 }
 
@@ -115,9 +120,10 @@
 // the largest deployment played. A peer further behind gets everything.
 const mostGone = 4096
 
-func (m *Mirror) drop(key string, revision uint64) {
-	delete(m.removing, key)
-	delete(m.objects, key)
+// remember notes for peers at which revision an object was found gone. It is
+// noted when it is heard, not when a removal that is held back takes effect:
+// peers that know that revision by then would never ask for it again.
+func (m *Mirror) remember(key string, revision uint64) {
 	if len(m.gone) >= mostGone {
 		clear(m.gone)
 		m.goneSince = revision
@@ -125,12 +131,25 @@
 	m.gone[key] = revision
 }
 
+func (m *Mirror) drop(key string) {
+	delete(m.removing, key)
+	delete(m.objects, key)
+}
+
+// Doubt holds removals back until then: a peer that tells of them has just
+// regained the store.
+func (m *Mirror) Doubt(until time.Time) {
+	if until.After(m.doubtUntil) {
+		m.doubtUntil = until
+	}
+}
+
 // Tick drops what was held back for long enough and reports whether it did.
-func (m *Mirror) Tick(now time.Time, revision uint64) bool {
+func (m *Mirror) Tick(now time.Time) bool {
 	changed := false
 	for key, at := range m.removing {
 		if !now.Before(at) {
-			m.drop(key, revision)
+			m.drop(key)
 			changed = true
 		}
 	}
@@ -158,7 +177,13 @@
 	return list
 }
 
-// known is a copy for peers.
+// known is a copy for peers, without what is about to be removed.
 func (m *Mirror) known(revision uint64) *known {
-	return &known{revision: revision, objects: m.Objects(), removed: maps.Clone(m.gone), since: m.goneSince}
+	k := &known{revision: revision, removed: maps.Clone(m.gone), since: m.goneSince, doubtUntil: m.doubtUntil}
+	for _, object := range m.Objects() {
+		if _, leaves := m.removing[object.Key]; !leaves {
+			k.objects = append(k.objects, object)
+		}
+	}
+	return k
 }
--- a/discover/relay.go
+++ b/discover/relay.go
@@ -49,6 +49,9 @@
 	}
 	changes := known.after(request.GetAfter())
 	reply := &discoverpb.ChangesReply{Revision: changes.revision, Whole: changes.whole, Removed: changes.removed}
+	if doubt := known.doubtUntil.Sub(f.config.Now()); doubt > 0 {
+		reply.DoubtMs = uint32(doubt.Milliseconds())
+	}
 	for _, object := range changes.objects {
 		sent := &discoverpb.Object{
 			Key: object.Key, Value: object.Value, Version: object.Version, Revision: object.Revision,
@@ -74,7 +77,10 @@
 	if err != nil {
 		return changes{}, errors.Wrapf(err, "ask %s", address)
 	}
-	got := changes{revision: reply.GetRevision(), whole: reply.GetWhole(), removed: reply.GetRemoved()}
+	got := changes{
+		revision: reply.GetRevision(), whole: reply.GetWhole(), removed: reply.GetRemoved(),
+		doubt: time.Duration(reply.GetDoubtMs()) * time.Millisecond,
+	}
 	for _, object := range reply.GetObjects() {
 		value := object.GetValue()
 		if object.GetPacked() {
