--- a/backend/backend.go
+++ b/backend/backend.go
@@ -81,6 +81,19 @@
 	FaultServer                 // ran and failed
 )
 
+var faultNames = [...]string{
+	"none", "unreachable", "connection_limit", "shed", "draining", "snapshot_not_held", "deadline", "cancelled",
+	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server",
+}
+
+// String is the fault's name in logs.
+func (f Fault) String() string {
+	if int(f) >= len(faultNames) {
+		return "unknown"
+	}
+	return faultNames[f]
+}
+
 // Attempt is the end of one Call: what is known of it, and the reply if any.
 type Attempt struct {
 	Outcome result.Outcome
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -97,7 +97,7 @@
 }
 
 func (g *Gateway) newHomes(counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(g.options.Backends, counters, trusting{}, g.options.Now, g.homesConfig)
+	homes := homeserver.New(loggedRunner{g.options.Backends, g.log, g.options.Now}, counters, trusting{}, g.options.Now, g.homesConfig)
 	budget := g.options.Budget.tune(hostsSharing)
 	homes.SetTune(func(config *home.Config) {
 		budget(config)
