--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -146,8 +146,10 @@
 // Runner implements scatter.Homes.
 func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
 
-// Strained implements scatter.Homes.
-func (h localHomes) Strained(service string) bool { return h.local.Strained(service) }
+// Strain implements scatter.Homes. Of homes elsewhere nothing is known.
+func (h localHomes) Strain(service, class string) leg.Strain {
+	return h.local.Strain(service, class)
+}
 
 // trusting is a homeserver.Watcher that suspects no request.
 type trusting struct{}
--- a/home/class.go
+++ b/home/class.go
@@ -30,6 +30,8 @@
 	// long: the class's work takes much longer than that of an active other.
 	long     bool
 	pace     pace
+	late     float64 // share of legs that were put back lately, 0 to 1
+	lost     float64 // share that was not started before the deadline
 	lastSeen time.Time
 	times    meanTime
 	observed histogram
--- a/home/state.go
+++ b/home/state.go
@@ -152,6 +152,7 @@
 	if !ok {
 		return acts
 	}
+	h.noteGivenUp(l, now)
 	h.remove(l)
 	return h.dispatch(now, h.cancelAttempts(l, acts))
 }
--- a/homes.go
+++ b/homes.go
@@ -45,5 +45,7 @@
 	return h.remote.To(peer.PeerAddress), true
 }
 
-// Strained implements scatter.Homes. Of homes elsewhere nothing is known.
-func (h *homes) Strained(service string) bool { return h.local.Strained(service) }
+// Strain implements scatter.Homes. Of homes elsewhere nothing is known.
+func (h *homes) Strain(service, class string) leg.Strain {
+	return h.local.Strain(service, class)
+}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -212,13 +212,20 @@
 	return limits
 }
 
-// Strained reports whether this host is home of the service and lately had
-// more legs for it than could be answered in time.
-func (s *Server) Strained(service string) bool {
+// Strain says how far a service lately was above its capacity for a class;
+// nothing is known where this host is not its home.
+func (s *Server) Strain(service, class string) leg.Strain {
 	s.mu.RLock()
-	svc := s.services[service]
+	svc, config := s.services[service], s.config
 	s.mu.RUnlock()
-	return svc != nil && svc.strained()
+	if svc == nil || config == nil {
+		return leg.Strain{}
+	}
+	_, position, ok := config.Class(class)
+	if !ok {
+		return leg.Strain{}
+	}
+	return svc.strain(position)
 }
 
 // Open counts the legs that are under way at this host's homes.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -272,10 +272,10 @@
 	})
 }
 
-func (s *service) strained() bool {
+func (s *service) strain(class int) leg.Strain {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.home.Strained(s.server.now())
+	return s.home.Strain(s.server.now(), class)
 }
 
 func (s *service) open() int {
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -60,6 +60,12 @@
 	RetryAfter time.Duration
 }
 
+// Strain says how far a service lately was above its capacity for a class.
+type Strain struct {
+	Late float64 // part of the legs, 0 to 1, that it had no capacity for in time
+	Lost float64 // part that it did not even start before their deadlines
+}
+
 // UnknownWait stands for a wait that is not known.
 const UnknownWait time.Duration = -1
 
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -19,9 +19,9 @@
 	Of(service string) (first, second ident.HostID)
 	// Runner returns the way to a host; false when it isn't known any more.
 	Runner(host ident.HostID) (leg.Runner, bool)
-	// Strained reports whether the service is known to have more work than it
-	// can answer in time.
-	Strained(service string) bool
+	// Strain says how far the service is known to have been above its capacity
+	// for the class lately.
+	Strain(service, class string) leg.Strain
 }
 
 // Counter counts what became of the legs' results; the observe slice gives one.
@@ -105,10 +105,10 @@
 	r.query = NewQuery(r.work.Plan)
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
-	r.chooseOptional()
-	for i := range shards {
-		first, _ := c.homes.Of(shards[i].Service)
-		r.send(i, first)
+	if r.hopeless(r.chooseOptional(r.strained())) {
+		r.refuse()
+	} else {
+		r.sendAll()
 	}
 	for r.query.Answer() == nil {
 		select {
@@ -128,6 +128,13 @@
 	return answer
 }
 
+func (r *run) sendAll() {
+	for i, shard := range r.work.Snapshot.Shards {
+		first, _ := r.c.homes.Of(shard.Service)
+		r.send(i, first)
+	}
+}
+
 func (r *run) send(i int, host ident.HostID) {
 	request := r.request(i)
 	r.sentTo[i] = host
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -231,6 +231,18 @@
 	q.finish()
 }
 
+// Refuse ends the query before anything was sent: it has not run.
+func (q *Query) Refuse(code result.Code, detail string, retryAfter time.Duration) {
+	if q.answer != nil {
+		return
+	}
+	for i := range q.shards {
+		q.shards[i] = shardState{settled: true, code: code, detail: detail, outcome: result.OutcomeUnsent, retry: retryAfter}
+	}
+	q.open = 0
+	q.finish()
+}
+
 // Abandon ends the query because its caller went away.
 func (q *Query) Abandon() {
 	if q.answer != nil {
