--- a/backend/wire_conn.go
+++ b/backend/wire_conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/internal/keepalive"
 )
 
 var errStopped = errors.New("backend: connection was dropped")
@@ -76,7 +78,7 @@
 // dialWire dials and leaves the wireConn in the holder that ctx carries: the
 // transport hides the connection under its own type.
 func dialWire(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	dialer := net.Dialer{KeepAliveConfig: keepalive.Short}
 	raw, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -88,13 +90,3 @@
 	}
 	return c, nil
 }
-
-// keepAlive finds idle connections that went silent: nothing comes back on
-// them, not even a reset, and the next call would end as unknown. Three probes
-// in 2.5 s leave room for one lost packet.
-var keepAlive = net.KeepAliveConfig{
-	Enable:   true,
-	Idle:     time.Second,
-	Interval: 500 * time.Millisecond,
-	Count:    3,
-}
--- /dev/null
+++ b/entry/carriers_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/member"
+)
+
+func carrier(id, zone string, born ident.Incarnation, capacity uint32) member.Host {
+	return member.Host{ID: ident.HostID(id), Zone: zone, Incarnation: born, Capacity: capacity}
+}
+
+func names(hosts []member.Host) (ids []string) {
+	for _, h := range hosts {
+		ids = append(ids, string(h.ID))
+	}
+	return ids
+}
+
+// Two zones hold the servers, a third hardly any: one host in each of the two
+// carries the traffic, and none in the third.
+func TestCarriersStandWhereTheServersAre(t *testing.T) {
+	is := is.New(t)
+	view := &member.View{Hosts: []member.Host{
+		carrier("a1", "a", 5, 400), carrier("a2", "a", 3, 400), carrier("b1", "b", 4, 400), carrier("c1", "c", 1, 400),
+	}}
+	is.Equal(names(Carriers(view, map[string]int{"a": 24, "b": 22, "c": 3})), []string{"a2", "b1"})
+}
+
+// A large fleet of small hosts has two large ones a zone. Requests must not go
+// to a small one because it started a moment earlier.
+func TestLargeHostsCarryFirst(t *testing.T) {
+	is := is.New(t)
+	view := &member.View{Hosts: []member.Host{
+		carrier("small", "a", 1, 90), carrier("large", "a", 9, 800), carrier("other", "a", 2, 90),
+	}}
+	is.Equal(names(Carriers(view, map[string]int{"a": 5})), []string{"large", "small"})
+}
+
+// Hosts that leave or are dead are never advised; one that is suspected only
+// when there is no other.
+func TestCarriersAreWell(t *testing.T) {
+	is := is.New(t)
+	suspected, leaving, dead := carrier("s", "a", 1, 400), carrier("l", "a", 2, 400), carrier("d", "a", 3, 400)
+	suspected.State, leaving.State, dead.State = member.StateSuspect, member.StateLeaving, member.StateDead
+	view := &member.View{Hosts: []member.Host{suspected, leaving, dead, carrier("w", "a", 9, 400), carrier("x", "b", 8, 400)}}
+	is.Equal(names(Carriers(view, map[string]int{"a": 5})), []string{"w", "s"})
+}
+
+// The load of the advised hosts rises above a half: one more takes part before
+// any of them is full.
+func TestBusyCarriersGetHelp(t *testing.T) {
+	is := is.New(t)
+	a, b := carrier("a1", "a", 1, 400), carrier("b1", "b", 1, 400)
+	a.LoadPermille, b.LoadPermille = 700, 500
+	view := &member.View{Hosts: []member.Host{a, carrier("a2", "a", 2, 400), b}}
+	is.Equal(names(Carriers(view, map[string]int{"a": 5, "b": 5})), []string{"a1", "b1", "a2"})
+}
+
+// No server is known yet: callers still need addresses.
+func TestCarriersWithoutServers(t *testing.T) {
+	is := is.New(t)
+	view := &member.View{Hosts: []member.Host{carrier("a1", "a", 1, 400), carrier("b1", "b", 2, 400), carrier("b2", "b", 3, 400)}}
+	is.Equal(names(Carriers(view, nil)), []string{"a1", "b1"})
+}
--- /dev/null
+++ b/gateway/config_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/route"
+)
+
+// The users count arrivals beyond the first over all hosts. What each host may
+// add by itself must keep the sum within the bound, also while four hosts
+// believe that they carry the traffic.
+func TestBudgetsOfAllHostsStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	budget := Budget{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
+	var config home.Config
+	budget.tune(hostsSharing)(&config)
+	is.True(config.ChargeRefusals)
+	is.True(config.HedgeBudget+config.RetryBudget <= budget.Ratio)
+	is.True(hostsSharing*(config.HedgeBurst+config.RetryBurst) <= budget.Slack)
+}
+
+func testRoute(name string, timeout time.Duration) route.Route {
+	return route.Route{
+		Name: name, Host: "x", Prefix: "/" + name + "/", Timeout: timeout, Target: time.Second, Priority: 1,
+		Shares: []route.Share{{Service: "s", Weight: 1}},
+	}
+}
+
+// An operator changes a route's timeout, or adds a thousand routes: what was
+// measured of the class must stay, and no class be made for each route.
+func TestRoutesWithTheSameAimShareAClass(t *testing.T) {
+	is := is.New(t)
+	c, err := newConfiguration(1, nil, &route.Config{
+		Version: 1, Services: []route.Service{{Name: "s"}},
+		Routes: []route.Route{testRoute("a", time.Second), testRoute("b", 2*time.Second)},
+	})
+	is.NoErr(err)
+	is.Equal(len(c.homes.Classes), 1)
+}
+
+func TestInvalidConfigurationIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := newConfiguration(1, nil, &route.Config{Version: 1, Routes: []route.Route{testRoute("a", time.Second)}})
+	is.True(err != nil) // its service is not listed
+}
+
+// A caller states more time than the operator lets the route wait, or none.
+func TestRequestWaitsNoLongerThanItsRoute(t *testing.T) {
+	is := is.New(t)
+	r := testRoute("a", 2*time.Second)
+	is.Equal(allowed(&r, Query{}), 2*time.Second)
+	is.Equal(allowed(&r, Query{Budget: time.Minute}), 2*time.Second)
+	is.Equal(allowed(&r, Query{Budget: time.Second}), time.Second)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
-	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -83,7 +82,7 @@
 type Gateway struct {
 	options     Options
 	log         *zap.Logger
-	metrics     *metrics
+	metrics     *observe.Metrics
 	members     *member.Agent
 	homes       *homeserver.Server
 	coordinator *scatter.Coordinator
@@ -99,7 +98,8 @@
 	inFlight atomic.Int64
 	// serversAt is the store's revision of the newest change of the servers.
 	serversAt atomic.Uint64
-	events    chan func() // for the control loop
+	events    chan func()   // for the control loop
+	ended     chan struct{} // closed when the control loop has ended
 
 	// owned by the servers' follower
 	serverStates map[string]serverState // by key
@@ -111,6 +111,7 @@
 		options:      options,
 		log:          options.Logger,
 		events:       make(chan func(), eventQueue),
+		ended:        make(chan struct{}),
 		serverStates: make(map[string]serverState),
 	}
 	if err := g.build(); err != nil {
@@ -179,6 +180,7 @@
 
 // control is the one goroutine that changes what is in force.
 func (g *Gateway) control(ctx context.Context) error {
+	defer close(g.ended)
 	for {
 		select {
 		case event := <-g.events:
@@ -189,8 +191,13 @@
 	}
 }
 
-// post hands an event to the control loop.
-func (g *Gateway) post(event func()) { g.events <- event }
+// post hands an event to the control loop; after its end the event is void.
+func (g *Gateway) post(event func()) {
+	select {
+	case g.events <- event:
+	case <-g.ended:
+	}
+}
 
 // applyConfig puts a configuration from the store or a peer in force, unless a
 // newer one is.
@@ -227,9 +234,3 @@
 	}
 	return nil
 }
-
-// localHomes makes this host the home of every service.
-type localHomes struct {
-	self  ident.HostID
-	local *homeserver.Server
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -105,9 +105,9 @@
 	answer := g.coordinator.Run(ctx, g.work(c, r, service, q))
 	out := g.encode(r, answer)
 	took := g.options.Now().Sub(q.Arrived)
-	class := className(r)
-	g.metrics.request(r.Host, class, answer.Code, took)
-	g.metrics.coverage(r.Host, class, len(answer.Parts), answer.Total)
+	class := className(r) // the host name stands for the caller, who is not named here
+	g.metrics.Request(r.Host, class, answer.Code, took)
+	g.metrics.Coverage(r.Host, class, len(answer.Parts), answer.Total)
 	g.logAnswer(c, r, q, answer, took)
 	return out
 }
--- /dev/null
+++ b/scatter/target_test.go
@@ -0,0 +1,83 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+var began = time.Unix(1000, 0)
+
+// targeted is a query over four shards with a target of 100 ms of 1 s.
+func targeted(least float64) *Query {
+	s := &snapshot.Snapshot{Version: 1}
+	for i := range 4 {
+		s.Shards = append(s.Shards, snapshot.Shard{ID: snapshot.ShardID(i), Service: "s"})
+	}
+	return NewQuery(Plan{
+		Request: ident.RequestID{1}, Snapshot: s, Started: began, Target: began.Add(100 * time.Millisecond),
+		Deadline: began.Add(time.Second), LeastCoverage: least, Idempotent: true,
+	})
+}
+
+func part(shard int) leg.Result {
+	return leg.Result{Request: ident.RequestID{1}, Shard: snapshot.ShardID(shard), Snapshot: 1, Outcome: result.OutcomeRan, Digest: leg.Digest(nil)}
+}
+
+// A screen waits for the last shard past its target and shows nothing: with the
+// least share there, the answer must be on its way before the target.
+func TestAnswerLeavesBeforeTheTarget(t *testing.T) {
+	is := is.New(t)
+	q := targeted(0.75)
+	for i := range 3 {
+		q.Take(part(i))
+	}
+	is.True(q.Answer() == nil) // there is time for the fourth
+	at := q.NextCutOff()
+	is.True(at.Before(began.Add(100*time.Millisecond)) && at.After(began.Add(80*time.Millisecond)))
+	q.CutOff(at)
+	is.Equal(q.Answer().Code, result.Partial)
+	is.Equal(len(q.Answer().Parts), 3)
+}
+
+// The least share is not there at the target: the query goes on, and answers
+// with the very part that completes it, not at its deadline.
+func TestPastTheTargetTheLeastShareAnswers(t *testing.T) {
+	is := is.New(t)
+	q := targeted(0.75)
+	q.Take(part(0))
+	q.CutOff(q.NextCutOff())
+	is.True(q.Answer() == nil)
+	is.True(q.NextCutOff().After(began.Add(800 * time.Millisecond)))
+	q.Take(part(1))
+	is.True(q.Answer() == nil)
+	q.Take(part(2))
+	is.Equal(q.Answer().Code, result.Partial)
+}
+
+// Nothing more comes: the query ends before its deadline, and says that it fails.
+func TestQueryEndsBeforeItsDeadline(t *testing.T) {
+	is := is.New(t)
+	q := targeted(0.75)
+	q.CutOff(q.NextCutOff())
+	last := q.NextCutOff()
+	is.True(last.Before(began.Add(time.Second)))
+	q.CutOff(last)
+	is.True(q.Answer() != nil)
+	is.True(!q.Answer().Code.NotRun()) // its legs may have run
+}
+
+// A query that is refused before anything was sent has not run.
+func TestRefusedQueryHasNotRun(t *testing.T) {
+	is := is.New(t)
+	q := targeted(0.75)
+	q.Refuse(result.Overloaded, "busy", time.Second)
+	is.Equal(q.Answer().Code, result.Overloaded)
+	is.Equal(q.Answer().RetryAfter, time.Second)
+}
