--- a/gateway/config.go
+++ b/gateway/config.go
@@ -139,6 +139,7 @@
 		config.ChargeRefusals = true
 		config.WarmAfter = warmAfter
 		config.ShareSlots = true
+		config.AvoidStalled = true
 		config.ZoneCost = zoneCost
 	}
 }
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -43,11 +43,16 @@
 		age := h.hedgeAge(c)
 		for a := c.watch.head; a != nil && age > 0 && now.Sub(a.started) >= age; a = c.watch.head {
 			c.watch.remove(a)
-			if h.wantsHedge(c, a, now) {
-				a.leg.place = inHedges
-				c.hedges.insert(a.leg)
-			}
+			h.queueHedge(c, a, now)
 		}
+		h.hedgeStalled(c, now)
+	}
+}
+
+func (h *Home) queueHedge(c *class, a *attempt, now time.Time) {
+	if h.wantsHedge(c, a, now) {
+		a.leg.place = inHedges
+		c.hedges.insert(a.leg)
 	}
 }
 
--- a/home/learn.go
+++ b/home/learn.go
@@ -23,7 +23,7 @@
 	case a.wasAhead && countsAsRefusal(end):
 		// this home's excess, not the server's overload
 	case answers(end):
-		h.lastGood = now
+		h.lastGood, s.answeredAt = now, now
 		s.answered()
 		h.observe(now, a, true)
 	case end.Fault == backend.FaultDraining:
--- a/home/place.go
+++ b/home/place.go
@@ -35,7 +35,7 @@
 		}
 		limit := s.limit(h.anyWarm)
 		expected := s.expected(c.index, prior, now)
-		if h.tooSlow(c, l, expected, now) {
+		if h.tooSlow(c, l, expected, now) || (h.usableCount > 1 && h.stalled(s, now)) {
 			continue
 		}
 		if len(s.running) >= s.room(c.long, h.anyWarm, now) {
--- a/home/server.go
+++ b/home/server.go
@@ -50,6 +50,7 @@
 
 	others     int // requests that are not this home's, by the server's report
 	reportedAt time.Time
+	answeredAt time.Time // the last answer
 }
 
 func newServer(now time.Time, spec ServerSpec, cfg *Config, warm bool) *server {
