--- a/discover/follower.go
+++ b/discover/follower.go
@@ -78,7 +78,9 @@
 // Listed reports whether a whole list is known.
 func (f *Follower) Listed() bool { return f.listed.Load() }
 
-// HeardAt is when the store last answered; zero: never.
+// HeardAt is when the store last answered this host, or the peers that it
+// follows; zero: never. A host that has to watch itself from now on, since its
+// peers are lost, is not cut off before it has had time to.
 func (f *Follower) HeardAt() time.Time {
 	if at := f.heardAt.Load(); at != 0 {
 		return time.Unix(0, at)
@@ -238,6 +240,7 @@
 		case hint := <-f.hints:
 			f.ask(ctx, hint)
 		case <-timer.C:
+			f.heard() // by its peers: Watches would say so otherwise
 			f.tick()
 		case <-ctx.Done():
 		}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -40,18 +40,18 @@
 )
 
 // Budget bounds the arrivals at a service beyond the first of each request,
-// summed over all hosts in any window of its length.
+// summed over all hosts in any window of some seconds. The length of the window
+// does not matter here: what a host may add to its ratio is its part of Slack,
+// however long it waits.
 type Budget struct {
-	Ratio  float64 // of the requests for the service
-	Slack  float64 // arrivals, whatever the load
-	Window time.Duration
+	Ratio float64 // of the requests for the service
+	Slack float64 // arrivals, whatever the load
 }
 
 // configuration is one version in the form that requests are served from. It
 // is immutable.
 type configuration struct {
 	revision uint64 // of the store
-	value    []byte // as stored, for peers
 	table    *route.Table
 	homes    *bundle.Config
 	shards   map[*route.Route]*snapshot.Snapshot
@@ -59,7 +59,7 @@
 	targets  map[string]time.Duration      // by class
 }
 
-func newConfiguration(revision uint64, value []byte, config *route.Config) (*configuration, error) {
+func newConfiguration(revision uint64, config *route.Config) (*configuration, error) {
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
@@ -69,7 +69,6 @@
 	}
 	c := &configuration{
 		revision: revision,
-		value:    value,
 		table:    route.NewTable(config),
 		homes:    homes,
 		shards:   make(map[*route.Route]*snapshot.Snapshot),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,8 +73,8 @@
 	// keepFactor is how much longer some callers keep advice.
 	keepFactor = 3
 	// cutOffAfter is how long a host that hears neither the store nor a peer
-	// serves on: longer than a watch waits, so that a quiet store is not
-	// mistaken for a lost one.
+	// serves on: two watches of 4 s that end without an answer, so that a quiet
+	// or slow store is not mistaken for a lost one.
 	cutOffAfter = 9 * time.Second
 )
 
@@ -216,7 +216,7 @@
 		g.log.Error("configuration can't be read, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
-	next, err := newConfiguration(object.Revision, object.Value, config)
+	next, err := newConfiguration(object.Revision, config)
 	if err != nil {
 		g.log.Error("configuration is not valid, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
--- a/home/class.go
+++ b/home/class.go
@@ -29,6 +29,7 @@
 	virtual float64
 	// long: the class's work takes much longer than that of an active other.
 	long     bool
+	skipped  bool // in the present decision: no server takes its legs
 	pace     pace
 	late     float64 // share of legs that were put back lately, 0 to 1
 	lost     float64 // share that was not started before the deadline
@@ -56,12 +57,12 @@
 // prevented: its legs fill all slots and the others wait behind them. Slot
 // time, not requests, is counted, so long requests pay for their length. An
 // idle class's share is lent to whoever has work; at its first leg the class
-// is served next. skip holds classes that found no server.
-func (h *Home) nextClass(now time.Time, skip uint) *class {
+// is served next. Classes that found no server in this decision are passed over.
+func (h *Home) nextClass(now time.Time) *class {
 	var best *class
 	for i := range h.classes {
 		c := &h.classes[i]
-		if skip&(1<<i) != 0 || !c.hasWork() || !h.mayTakeSlot(c, now) {
+		if c.skipped || !c.hasWork() || !h.mayTakeSlot(c, now) {
 			continue
 		}
 		if best == nil || c.virtual < best.virtual {
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -25,15 +25,17 @@
 	acts = h.dropLate(now, acts)
 	acts = h.dropUnservable(now, acts)
 	h.queueHedges(now)
-	var skip uint
+	for i := range h.classes {
+		h.classes[i].skipped = false
+	}
 	for h.hasFreeSlot(now) {
-		c := h.nextClass(now, skip)
+		c := h.nextClass(now)
 		if c == nil {
 			return acts
 		}
 		l, s, hedge := h.pick(c, now)
 		if l == nil {
-			skip |= 1 << c.index
+			c.skipped = true
 			continue
 		}
 		acts = append(acts, h.start(c, l, s, hedge, now))
--- a/home/due_test.go
+++ b/home/due_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,22 @@
 	b.took(b.home.Cancel(b.now, late, nil))
 	b.is.True(b.home.Strain(b.now, interactive).Lost > 0)
 }
+
+// An operator's routes have a hundred different targets, so a service has a
+// hundred classes. A decision with work in the last ones must end.
+func TestManyClassesAreServed(t *testing.T) {
+	cfg := config()
+	const classes = 100
+	for i := len(cfg.Classes); i < classes; i++ {
+		cfg.Classes = append(cfg.Classes, ClassSpec{Name: fmt.Sprint("class ", i), MaxQueue: 10})
+	}
+	b := newBench(t, cfg, 1)
+	b.withoutProbes()
+	for i := range 3 * cfg.SlotsPerServer {
+		b.submit(classes-1-i, time.Second, true)
+	}
+	b.is.Equal(len(b.running), cfg.SlotsPerServer)
+	for len(b.running) > 0 {
+		b.finish(b.running[0], ran())
+	}
+}
