--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	ConfigKey, ServersPrefix, HostsPrefix string
 	// Budget bounds extra arrivals at a service.
 	Budget Budget
+	// BodyBytes bounds the bodies of all requests in flight together.
+	BodyBytes int64
 	// StopWithin bounds a planned stop.
 	StopWithin time.Duration
 	// Processor is the share of a core that this host has.
@@ -96,6 +98,7 @@
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
+	bodies   atomic.Int64 // bytes of the bodies in flight
 	// serversAt is the store's revision of the newest change of the servers.
 	serversAt atomic.Uint64
 	events    chan func()   // for the control loop
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -81,6 +81,21 @@
 	return g.run(ctx, c, r, service, q)
 }
 
+// TakeBody asks for room for a request's body before it is read, and gives it
+// back through release. A refusal says that the request has not run.
+//
+// Load: many callers send bodies near the limit at once. Harm prevented: they
+// are held in memory until their answers, a host of 184 MB is killed, and every
+// request on it is lost. A body is refused before it is read, whatever its caller
+// had still to send.
+func (g *Gateway) TakeBody(bytes int64) (release func(), refusal *Answer) {
+	if g.bodies.Add(bytes) > g.options.BodyBytes {
+		g.bodies.Add(-bytes)
+		return nil, refused(result.Overloaded, "too many bytes of requests in flight", notReadyAfter)
+	}
+	return func() { g.bodies.Add(-bytes) }, nil
+}
+
 // refuse decides at the door whether a request is taken in.
 //
 // Load: a host that starts, stops, is cut off, or has more in flight than its
