--- a/member/config.go
+++ b/member/config.go
@@ -15,7 +15,7 @@
 	ProbeEvery      time.Duration // one partner is probed in each; default 500 ms
 	DirectTimeout   time.Duration // then other hosts are asked to probe; default 300 ms
 	VerdictAfter    time.Duration // then a silent partner is suspected; default 600 ms
-	SuspicionMin    time.Duration // time to refute a suspicion in a small fleet; default 2 s
+	SuspicionMin    time.Duration // time to refute a suspicion in a small fleet; default 1.5 s
 	ReconnectEvery  time.Duration // one lost host is tried in each; default 2 s
 	ForgetConfirmed time.Duration // dead hosts off the host list are kept so long; default 5 min
 	ForgetAnyway    time.Duration // dead hosts still listed are kept so long; default 25 h
@@ -56,7 +56,7 @@
 	setDefault(&c.ProbeEvery, 500*time.Millisecond)
 	setDefault(&c.DirectTimeout, 300*time.Millisecond)
 	setDefault(&c.VerdictAfter, 600*time.Millisecond)
-	setDefault(&c.SuspicionMin, 2*time.Second)
+	setDefault(&c.SuspicionMin, 1500*time.Millisecond)
 	setDefault(&c.ReconnectEvery, 2*time.Second)
 	setDefault(&c.ForgetConfirmed, 5*time.Minute)
 	setDefault(&c.ForgetAnyway, 25*time.Hour)
