--- a/member/partners.go
+++ b/member/partners.go
@@ -55,27 +55,63 @@
 	return picked
 }
 
-// fillPartners draws partners up to their number, mostly in the own region.
+// distance is how far a partner is.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	elsewhere
+	distances
+)
+
+func (m *Membership) distanceOf(r *record) distance {
+	switch {
+	case r.Region != m.self.Region:
+		return elsewhere
+	case r.Zone != m.self.Zone:
+		return sameRegion
+	default:
+		return sameZone
+	}
+}
+
+// fillPartners draws partners up to their number, mostly in the own zone, where
+// probes cost no bytes between zones; what the zone can't fill comes from the
+// others of the region.
+//
+// A fleet no larger than the partners has nothing to choose: all its hosts are
+// drawn in one go.
 func (m *Membership) fillPartners() {
-	local, remote := 0, 0
+	var have [distances]int
 	for _, r := range m.partners {
-		if r.Region == m.self.Region {
-			local++
-		} else {
-			remote++
-		}
+		have[m.distanceOf(r)]++
 	}
-	m.drawPartners(partnerCount-remotePartnerCount-local, true)
-	m.drawPartners(remotePartnerCount-remote, false)
+	if len(m.sorted) <= partnerCount+1 {
+		m.drawFromAll(partnerCount-remotePartnerCount-have[sameZone]-have[sameRegion], func(r *record) bool {
+			return m.isCandidate(r) && r.Region == m.self.Region
+		})
+		m.drawPartners(remotePartnerCount-have[elsewhere], elsewhere)
+		return
+	}
+	near := partnerCount - zonePartnerCount - remotePartnerCount
+	have[sameZone] += m.drawPartners(near-have[sameZone], sameZone)
+	m.drawPartners(partnerCount-remotePartnerCount-have[sameZone]-have[sameRegion], sameRegion)
+	m.drawPartners(remotePartnerCount-have[elsewhere], elsewhere)
 }
 
-func (m *Membership) drawPartners(n int, local bool) {
-	wanted := func(r *record) bool {
-		return !r.partner && r != m.self && !r.lost() && (r.Region == m.self.Region) == local
-	}
+// isCandidate reports whether a host may become a partner.
+func (m *Membership) isCandidate(r *record) bool {
+	return !r.partner && r != m.self && !r.lost()
+}
+
+// drawPartners draws up to n partners and returns how many it found.
+func (m *Membership) drawPartners(n int, at distance) int {
+	before := len(m.partners)
+	wanted := func(r *record) bool { return m.isCandidate(r) && m.distanceOf(r) == at }
 	if len(m.sorted) <= randomTries {
 		m.drawFromAll(n, wanted)
-		return
+		return len(m.partners) - before
 	}
 	for try := 0; n > 0 && try < randomTries; try++ {
 		r := m.sorted[m.rng.IntN(len(m.sorted))]
@@ -84,6 +120,7 @@
 			n--
 		}
 	}
+	return len(m.partners) - before
 }
 
 // drawFromAll looks at every host of a small fleet, in random order.
