--- a/discover/follower.go
+++ b/discover/follower.go
@@ -185,11 +185,14 @@
 	f.heard()
 	f.advance(revision)
 	changed := f.mirror.Replace(f.config.Now(), objects, revision)
-	if !f.listed.Swap(true) || regained {
+	first := !f.Listed()
+	if first || regained {
 		f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.Int("objects", len(objects)))...)
-		changed = true
 	}
-	f.apply(changed)
+	f.apply(changed || first || regained)
+	// Only now: a host that is ready before it has applied the list refuses its
+	// first requests for lack of servers.
+	f.listed.Store(true)
 	return nil
 }
 
