--- a/home/state.go
+++ b/home/state.go
@@ -146,6 +146,16 @@
 	return h.dispatch(now, acts)
 }
 
+// Outcome is what is known of a leg that has not ended, if it is given up now:
+// unsent or refused only if no server has it.
+func (h *Home) Outcome(id LegID) result.Outcome {
+	l, ok := h.legs[id]
+	if !ok || l.runningCount() > 0 {
+		return result.OutcomeUnknown
+	}
+	return l.worst
+}
+
 // Cancel drops a leg whose caller no longer waits; running attempts are cancelled.
 func (h *Home) Cancel(now time.Time, id LegID, acts []Action) []Action {
 	l, ok := h.legs[id]
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -87,19 +87,17 @@
 
 func (s *service) cancel(id home.LegID) {
 	var gone *openLeg
+	var outcome result.Outcome
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
 		gone = s.legs[id]
 		delete(s.legs, id)
+		outcome = s.home.Outcome(id)
 		return s.home.Cancel(now, id, acts)
 	})
 	if gone == nil {
 		return
 	}
 	s.server.counter.Cancelled(s.name)
-	outcome := result.OutcomeUnsent
-	if gone.attempts > 0 {
-		outcome = result.OutcomeUnknown
-	}
 	gone.done(leg.Failed(gone.request, result.Cancelled, outcome, "cancelled"))
 }
 
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -115,7 +115,7 @@
 		case a := <-r.results:
 			r.take(a)
 		case <-timer.C:
-			r.query.CutOff(c.now())
+			r.cutOff()
 			timer.Reset(r.query.NextCutOff().Sub(c.now()))
 		case <-ctx.Done():
 			r.query.Abandon()
@@ -128,6 +128,38 @@
 	return answer
 }
 
+// cutOff ends the query if it is time to. At the final cut-off the open legs are
+// cancelled first, and what their homes say of them is taken in.
+//
+// Failure: a booking waits for a slot until its deadline and never gets one. Its
+// customer would be told that it may have run, and can't book again. The guard
+// holds because a local home answers a cancel at once, and says "not run" only
+// of a leg that no server has or had.
+func (r *run) cutOff() {
+	now := r.c.now()
+	if !now.Before(FinalCutOff(r.work.Plan)) {
+		r.cancelRest()
+		r.takeWaiting()
+	}
+	r.query.CutOff(now)
+}
+
+// takeWaiting takes in the results that have come already.
+func (r *run) takeWaiting() {
+	for r.query.Answer() == nil {
+		select {
+		case a := <-r.results:
+			if a.result.Code == result.Cancelled && a.result.Outcome.NotRun() {
+				a.result.Code = result.DeadlineUnmeetable
+				a.result.Detail = "no server took it in time"
+			}
+			r.take(a)
+		default:
+			return
+		}
+	}
+}
+
 func (r *run) sendAll() {
 	for i, shard := range r.work.Snapshot.Shards {
 		first, _ := r.c.homes.Of(shard.Service)
@@ -166,7 +198,7 @@
 		Snapshot:    r.work.Snapshot.Version,
 		Class:       r.work.Class,
 		Caller:      r.work.Caller,
-		Deadline:    r.work.Deadline,
+		Deadline:    r.legDeadline(),
 		Idempotent:  r.work.Idempotent,
 		Fingerprint: r.work.Fingerprint,
 		Body:        r.work.Body,
@@ -177,6 +209,16 @@
 	}
 }
 
+// legDeadline is when a leg's result is of no use any more. A forwarded request
+// is given up at its cut-off: a server that is handed more time works for nobody,
+// and a slot that is freed at the cut-off would go to one that ends with it.
+func (r *run) legDeadline() time.Time {
+	if r.work.Forward == nil {
+		return r.work.Deadline
+	}
+	return FinalCutOff(r.work.Plan)
+}
+
 // due is when a leg's result must be there to go into an answer in time.
 func (r *run) due() time.Time {
 	if r.work.Target.IsZero() {
