--- a/member/membership.go
+++ b/member/membership.go
@@ -26,6 +26,7 @@
 	dead    []*record
 
 	joined   bool // a peer gave its whole view
+	join     join
 	departed bool // this host has said that it is gone
 	replaced bool // another process runs under this ID
 
--- a/member/probe.go
+++ b/member/probe.go
@@ -62,9 +62,12 @@
 		calls = m.push(now, calls)
 	}
 	if !now.Before(m.nextReconnect) {
-		m.nextReconnect = now.Add(m.config.ReconnectEvery)
+		m.nextReconnect = now.Add(m.reconnectPause())
 		calls = m.reconnect(now, calls)
 	}
+	if m.join.dueAgain(now, len(m.records)) {
+		calls = m.syncAnywhere(calls)
+	}
 	if !now.Before(m.nextChores) {
 		m.nextChores = now.Add(choresEvery)
 		m.chores(now)
@@ -85,6 +88,7 @@
 	}
 	sooner(m.pushAt)
 	sooner(m.nextReconnect)
+	sooner(m.join.again)
 	sooner(m.nextChores)
 	for _, p := range m.probes {
 		sooner(p.askAt)
--- a/member/serve.go
+++ b/member/serve.go
@@ -111,6 +111,9 @@
 	}
 	m.heardPeer(now)
 	m.absorb(now, reply.Sender, reply.News)
+	if !m.joined {
+		m.join.enter(now, len(m.records))
+	}
 	m.joined = true
 	m.fillPartners()
 }
