--- a/discover/follower.go
+++ b/discover/follower.go
@@ -46,9 +46,9 @@
 	// Watches tells whether this host watches the store itself; the others
 	// follow their peers.
 	Watches func() bool
-	// Settle is how long changes are gathered before the next watch, so that a
-	// start of many servers costs each host a few calls; 0: not at all.
-	Settle time.Duration
+	// Settle tells how long changes are gathered before the next watch, so that a
+	// start of many servers costs each host a few calls; nil or 0: not at all.
+	Settle func() time.Duration
 }
 
 // Hint says that peers know the changes up to a revision.
@@ -290,8 +290,11 @@
 
 // settle lets more changes gather after some have come.
 func (f *Follower) settle(ctx context.Context, changes int) {
-	if changes > 0 && f.config.Settle > 0 {
-		f.pause(ctx, f.config.Settle)
+	if changes == 0 || f.config.Settle == nil {
+		return
+	}
+	if wait := f.config.Settle(); wait > 0 {
+		f.pause(ctx, wait)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 // Gateway is one entry host.
 type Gateway struct {
 	options     Options
+	startedAt   time.Time
 	log         *zap.Logger
 	metrics     *observe.Metrics
 	members     *member.Agent
@@ -112,6 +113,7 @@
 func New(options Options) (*Gateway, error) {
 	g := &Gateway{
 		options:      options,
+		startedAt:    options.Now(),
 		log:          options.Logger,
 		events:       make(chan func(), eventQueue),
 		ended:        make(chan struct{}),
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// watchersPerZone hosts of each availability zone watch the store: one may
-	// be lost, and another may be starting, without the zone going blind.
-	watchersPerZone = 3
+	// fewestWatchers hosts of a large fleet watch the store, and of each
+	// availability zone leastWatchers: one may be lost without the zone going
+	// blind, and some watch always is about to end and to hear what the others
+	// were not told.
+	fewestWatchers = 8
+	leastWatchers  = 2
 	// watchAllUpTo is the size of a fleet in which all hosts do.
 	watchAllUpTo = 8
 )
@@ -29,7 +32,17 @@
 	if g.options.Now().Sub(g.members.PeerHeardAt()) > peerSilence {
 		return true
 	}
-	return view.IsWatcher(g.options.Zone, watchersPerZone)
+	return view.IsWatcher(g.options.Zone, watchersPerZone(view))
+}
+
+// watchersPerZone is how many hosts of each availability zone watch the store.
+func watchersPerZone(view *member.View) int {
+	zones := make(map[string]bool)
+	for _, host := range view.Hosts {
+		zones[host.Zone] = true
+	}
+	count := max(len(zones), 1)
+	return max(leastWatchers, (fewestWatchers+count-1)/count)
 }
 
 // peerSilence is how long no peer may answer before a host watches itself: two
@@ -65,7 +78,7 @@
 // thousand routes goes to every host.
 func (g *Gateway) peersToAsk(news member.ConfigNews) []string {
 	view := g.members.View()
-	watchers := view.Watchers(g.options.Zone, watchersPerZone)
+	watchers := view.Watchers(g.options.Zone, watchersPerZone(view))
 	rand.Shuffle(len(watchers), func(i, j int) { watchers[i], watchers[j] = watchers[j], watchers[i] })
 	var peers []string
 	for _, id := range append(watchers, news.From) {
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -65,8 +65,8 @@
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	g.configs = g.newFollower(g.options.ConfigKey, 0, g.applyConfigs)
-	g.servers = g.newFollower(g.options.ServersPrefix, serversSettle, g.applyServers)
+	g.configs = g.newFollower(g.options.ConfigKey, nil, g.applyConfigs)
+	g.servers = g.newFollower(g.options.ServersPrefix, g.settleServers, g.applyServers)
 	return g.relay.Register(g.peers.Mux(), g.configs, g.servers)
 }
 
@@ -117,11 +117,30 @@
 	return scatter.NewCoordinator(local, counters, g.options.Now, func(string, string, []snapshot.Version) {})
 }
 
-// serversSettle gathers the servers' changes: fifty that start within a second
-// cost each host a few calls, and a server that leaves has seconds.
-const serversSettle = 250 * time.Millisecond
+const (
+	// serversSettle gathers the servers' changes: fifty that start within a
+	// second cost each host a few calls, and a server that leaves has seconds.
+	serversSettle = 250 * time.Millisecond
+	// startSettle does so during the first startFor of a host.
+	//
+	// Load: a whole fleet starts, and with it its servers. Harm prevented: until
+	// its hosts know each other all of them watch, each change wakes each of
+	// them, and of the calls that a fleet of 83 makes in 48 s four of five fall
+	// into its first 4 s. Limit: a host that starts into a running fleet hears of
+	// changes from its peers meanwhile, and a server that leaves has seconds.
+	startSettle = time.Second
+	startFor    = 4 * time.Second
+)
+
+// settleServers is how long changes of the servers are gathered now.
+func (g *Gateway) settleServers() time.Duration {
+	if g.options.Now().Sub(g.startedAt) < startFor {
+		return startSettle
+	}
+	return serversSettle
+}
 
-func (g *Gateway) newFollower(prefix string, settle time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
+func (g *Gateway) newFollower(prefix string, settle func() time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
 		Relay: g.relay, Watches: g.watches, Settle: settle,
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -24,6 +24,10 @@
 	// joinWait is how long a host waits to be let in by the peers of its
 	// settings before it asks the store for others.
 	joinWait = 2 * time.Second
+	// meetWait is how long one that was let in waits on: the hosts of a large
+	// fleet that starts take some 3 s to know each other, and only those that
+	// are to stand in the store then write to it.
+	meetWait = 2 * time.Second
 	// watcherCheck is how often a host looks whether it is one of the hosts to
 	// stand in the store.
 	watcherCheck = 5 * time.Second
@@ -33,8 +37,10 @@
 // store, and asks for the others' when no peer of the settings answers. The
 // store so sees a few calls for each start of a fleet, however large.
 func (g *Gateway) register(ctx context.Context) error {
-	wait := joinWait
-	for sleep(ctx, wait) {
+	if sleep(ctx, joinWait) && g.members.Joined() {
+		sleep(ctx, meetWait)
+	}
+	for wait := time.Duration(0); sleep(ctx, wait); {
 		wait = watcherCheck
 		if !g.watches() {
 			continue
