--- a/home/hedge.go
+++ b/home/hedge.go
@@ -65,17 +65,19 @@
 		h.usableCount > 1 && l.serversLeft() > 0 && now.Add(c.leastTime).Before(l.Deadline)
 }
 
-// pickHedge is the first hedge that ranks before the waiting legs and has a
-// free server other than the one that runs it.
+// pickHedge is the first hedge that has a free server other than the one that
+// runs it, if no leg waits for its first attempt.
+//
+// Load: a service near its capacity, of which half of the servers are slow. Harm
+// prevented: hedges of older queries go before first attempts of newer ones, and
+// each uses a slot for work that is done elsewhere already, so that the service
+// falls behind just when it has nothing to spare.
 func (h *Home) pickHedge(c *class, now time.Time) (*leg, *server) {
-	if c.hedges.len() == 0 || !h.hedgeBudget.Allows() {
+	if c.hedges.len() == 0 || c.waiting.len() > 0 || !h.hedgeBudget.Allows() {
 		return nil, nil
 	}
 	for i := 0; i < c.hedges.len() && i < maxScan; i++ {
 		l := c.hedges.legs[i]
-		if c.waiting.len() > 0 && before(c.waiting.legs[0], l) {
-			return nil, nil
-		}
 		if s := h.place(c, l, i, now); s != nil {
 			return l, s
 		}
--- a/home/settle.go
+++ b/home/settle.go
@@ -39,7 +39,7 @@
 	if !h.mayRetry(l, end, now) {
 		return h.fail(l, finalCode(l, end), end.RetryAfter, acts)
 	}
-	if h.costsRetry(end) && !h.retryBudget.Spend() {
+	if h.costsRetry(end) && !h.payRetry() {
 		return h.fail(l, l.failCode(result.RetryBudgetSpent), h.retryAfter(now, end.RetryAfter), acts)
 	}
 	if !countsAsRefusal(end) {
@@ -67,6 +67,16 @@
 // retry budget.
 func (h *Home) costsRetry(end End) bool { return h.cfg.ChargeRefusals || !paced(end) }
 
+// payRetry pays for one retry, with what is left for hedges if need be.
+//
+// Load: half of the servers of a service lose two in five of their answers for
+// seconds. Harm prevented: the retries' part of the budget is spent within the
+// first, each lost answer then fails its leg, and a query that lacks three legs
+// fails as a whole, while hedges go on being sent for legs that are only slow.
+func (h *Home) payRetry() bool {
+	return h.retryBudget.Spend() || h.hedgeBudget.Spend()
+}
+
 func attemptsFor(end End) int {
 	if paced(end) {
 		return maxPacedAttempts
