--- a/backend/client.go
+++ b/backend/client.go
@@ -93,9 +93,8 @@
 // Client is the HTTP Runner. It never sends a call twice: each goes out on one
 // connection that the Client holds itself, so net/http has no way to retry.
 type Client struct {
-	options   Options
-	scheme    string
-	transport *http.Transport
+	options Options
+	scheme  string
 
 	mu      sync.Mutex
 	pools   map[string]*pool // by the server's address
@@ -116,14 +115,7 @@
 	return &Client{
 		options: options,
 		scheme:  scheme,
-		transport: &http.Transport{
-			DialContext:            dialWire,
-			TLSClientConfig:        options.TLS,
-			TLSHandshakeTimeout:    options.DialTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxReplyHeaderBytes,
-		},
-		pools: make(map[string]*pool),
+		pools:   make(map[string]*pool),
 	}
 }
 
@@ -140,14 +132,17 @@
 
 // Run implements Runner.
 func (c *Client) Run(ctx context.Context, server Server, call Call) Attempt {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
-	defer cancel()
+	if end, ok := ctx.Deadline(); !ok || end.After(call.Deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
+		defer cancel()
+	}
 	p, link, err := c.connect(ctx, server, call)
 	if err != nil {
 		return unsent(err)
 	}
 	attempt, reusable := c.exchange(ctx, server, link, call)
-	if reusable && link.http.Err() == nil {
+	if reusable {
 		link.keepFor = attempt.KeepFor
 		p.put(link, time.Now())
 		return attempt
@@ -195,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
 	c.dials.Add(1)
-	return dial(ctx, c.transport, c.scheme, server.Address)
+	return dial(ctx, c.options.TLS, server.Address)
 }
 
 // exchange sends the call on the connection and reads its reply. reusable is
@@ -207,13 +202,13 @@
 	request := c.options.Protocol.Request(server, call)
 	request.URL.Scheme = c.scheme
 	request.URL.Host = server.Address
-	response, err := link.http.RoundTrip(request.WithContext(ctx))
+	e, err := link.roundTrip(ctx, request)
 	if err != nil {
 		return sendFailure(ctx, watch, link.drop() != before), false
 	}
-	defer response.Body.Close()
-	attempt, reusable, err = c.options.Protocol.Read(response, call)
-	return c.classify(ctx, watch, attempt, err), reusable && err == nil
+	attempt, reusable, err = c.options.Protocol.Read(e.response, call)
+	reusable = e.end() && reusable && err == nil
+	return c.classify(ctx, watch, attempt, err), reusable
 }
 
 // classify counts replies that can't be believed, and says why one that is not
@@ -281,14 +276,14 @@
 	if asked != nil {
 		newHeaderWriter(request.Header, callHeaders).setEchoes(*asked)
 	}
-	response, err := link.http.RoundTrip(request)
+	e, err := link.roundTrip(ctx, request)
 	if err != nil {
 		return health, errors.Wrapf(err, "health of %s", server.Name)
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return health, errors.Errorf("health of %s: status %d", server.Name, response.StatusCode)
+	defer e.end()
+	if e.response.StatusCode != http.StatusOK {
+		return health, errors.Errorf("health of %s: status %d", server.Name, e.response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health)
+	err = json.NewDecoder(io.LimitReader(e.response.Body, maxHealthBytes)).Decode(&health)
 	return health, errors.Wrapf(err, "health of %s", server.Name)
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,8 +1,6 @@
 package backend
 
 import (
-	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -12,38 +10,6 @@
 // errNoConnection: the pool's share of the server's connection limit is used up.
 var errNoConnection = errors.New("backend: connection limit reached")
 
-// conn is one HTTP/1.1 connection; it carries one call at a time.
-type conn struct {
-	http      *http.ClientConn
-	wire      *wireConn
-	idleSince time.Time
-	keepFor   time.Duration // the server's word on idle connections; 0: none
-}
-
-// stale reports whether the connection was idle for longer than a call of that
-// freshness may find it, or than the server keeps it.
-//
-// Failure: a server closes an idle connection while a call is on its way; the
-// call ends as unknown though it never ran. The guard holds because the last
-// part of the time that the server states is left unused.
-func (c *conn) stale(now time.Time, fresh time.Duration) bool {
-	if c.keepFor > 0 {
-		fresh = min(fresh, c.keepFor-keepReserve)
-	}
-	return now.Sub(c.idleSince) > fresh
-}
-
-// keepReserve is the part of a stated idle time that is left unused: a round
-// trip between regions and the lateness of a busy host's timers.
-const keepReserve = 400 * time.Millisecond
-
-// drop closes the connection at once and reports how many writes it began.
-func (c *conn) drop() uint64 {
-	writes := c.wire.stop()
-	_ = c.http.Close()
-	return writes
-}
-
 // pool holds the connections to one backend server.
 type pool struct {
 	mu      sync.Mutex
@@ -81,7 +47,7 @@
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
-		alive := c.http.Err() == nil
+		alive := c.alive()
 		if alive && c.stale(now, fresh) {
 			return nil // the others are older still
 		}
@@ -151,14 +117,3 @@
 	defer p.mu.Unlock()
 	return p.open
 }
-
-// dial opens one connection outside of any pool.
-func dial(ctx context.Context, transport *http.Transport, scheme, address string) (*conn, error) {
-	var wire *wireConn
-	ctx = context.WithValue(ctx, wireConnKey{}, &wire)
-	client, err := transport.NewClientConn(ctx, scheme, address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{http: client, wire: wire}, nil
-}
--- a/backend/wire_conn.go
+++ b/backend/wire_conn.go
@@ -55,8 +55,8 @@
 	return c.writes
 }
 
-// stop closes the connection and returns the final count of writes. net/http
-// writes from a goroutine of its own, which may still be about to write when
+// stop closes the connection and returns the final count of writes. A long body
+// is written by a goroutine of its own, which may still be about to write when
 // the call has failed already: without the stop, "nothing was sent" could turn
 // false a moment after it was said.
 func (c *wireConn) stop() uint64 {
@@ -73,20 +73,14 @@
 	return now.Sub(time.Unix(0, c.lastReadNs.Load()))
 }
 
-type wireConnKey struct{}
-
-// dialWire dials and leaves the wireConn in the holder that ctx carries: the
-// transport hides the connection under its own type.
-func dialWire(ctx context.Context, network, address string) (net.Conn, error) {
+// dialWire opens a TCP connection.
+func dialWire(ctx context.Context, address string) (*wireConn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepalive.Short}
-	raw, err := dialer.DialContext(ctx, network, address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	c := &wireConn{Conn: raw}
 	c.lastReadNs.Store(time.Now().UnixNano())
-	if holder, ok := ctx.Value(wireConnKey{}).(**wireConn); ok {
-		*holder = c
-	}
 	return c, nil
 }
