--- a/backend/backend.go
+++ b/backend/backend.go
@@ -79,11 +79,12 @@
 	FaultCrossed                // the echoes are another request's: unknown
 	FaultSnapshotMismatch       // answered from another snapshot: ran, not usable
 	FaultServer                 // ran and failed
+	FaultPeerLost               // the host that passed the call on was lost: unknown
 )
 
 var faultNames = [...]string{
 	"none", "unreachable", "connection_limit", "shed", "draining", "snapshot_not_held", "deadline", "cancelled",
-	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server",
+	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server", "peer_lost",
 }
 
 // String is the fault's name in logs.
--- a/entry/carriers.go
+++ b/entry/carriers.go
@@ -33,26 +33,17 @@
 // taken first, and of these the ones that have served for longest, so that a
 // restart moves no callers but its own.
 func Carriers(view *member.View, serversIn map[string]int) []member.Host {
-	zones := nearZones(serversIn)
-	byZone := make(map[string][]member.Host)
-	var spare []member.Host
-	for _, host := range view.Hosts {
-		switch {
-		case !host.Serving():
-		case slices.Contains(zones, host.Zone):
-			byZone[host.Zone] = append(byZone[host.Zone], host)
-		default:
-			spare = append(spare, host)
-		}
-	}
-	var chosen, rest []member.Host
-	for _, zone := range zones {
-		hosts := byZone[zone]
-		slices.SortFunc(hosts, steadiest)
-		if len(hosts) > 0 {
+	byZone := servingByZone(view)
+	var chosen, rest, spare []member.Host
+	for _, zone := range nearZones(serversIn) {
+		if hosts := byZone[zone]; len(hosts) > 0 {
 			chosen = append(chosen, hosts[0])
 			rest = append(rest, hosts[1:]...)
 		}
+		delete(byZone, zone)
+	}
+	for _, hosts := range byZone {
+		spare = append(spare, hosts...)
 	}
 	slices.SortFunc(rest, steadiest)
 	slices.SortFunc(spare, steadiest)
@@ -61,6 +52,30 @@
 	return append(chosen, rest[:more]...)
 }
 
+// Gates are the hosts, one of each availability zone, through which hosts of
+// other zones reach the backend servers there: those that Carriers takes first.
+func Gates(view *member.View) map[string]member.Host {
+	gates := make(map[string]member.Host)
+	for zone, hosts := range servingByZone(view) {
+		gates[zone] = hosts[0]
+	}
+	return gates
+}
+
+// servingByZone lists the hosts that serve by availability zone, steadiest first.
+func servingByZone(view *member.View) map[string][]member.Host {
+	byZone := make(map[string][]member.Host)
+	for _, host := range view.Hosts {
+		if host.Serving() {
+			byZone[host.Zone] = append(byZone[host.Zone], host)
+		}
+	}
+	for _, hosts := range byZone {
+		slices.SortFunc(hosts, steadiest)
+	}
+	return byZone
+}
+
 // nearZones are the zones that hold many backend servers, fullest first.
 func nearZones(serversIn map[string]int) []string {
 	most := 0
--- a/entry/carriers_test.go
+++ b/entry/carriers_test.go
@@ -66,3 +66,20 @@
 	view := &member.View{Hosts: []member.Host{carrier("a1", "a", 1, 400), carrier("b1", "b", 2, 400), carrier("b2", "b", 3, 400)}}
 	is.Equal(names(Carriers(view, nil)), []string{"a1", "b1"})
 }
+
+// Parts cross into an availability zone through one host there: the one that
+// carries traffic, so that it knows what runs at the servers, and never one that
+// is leaving.
+func TestGateOfAZoneIsItsFirstCarrier(t *testing.T) {
+	is := is.New(t)
+	view := &member.View{Hosts: []member.Host{
+		{ID: "a1", Zone: "a", Capacity: 100, Incarnation: 1},
+		{ID: "a2", Zone: "a", Capacity: 400, Incarnation: 2},
+		{ID: "a3", Zone: "a", Capacity: 800, Incarnation: 3, State: member.StateLeaving},
+		{ID: "b1", Zone: "b", Capacity: 100, Incarnation: 1, State: member.StateLeaving},
+	}}
+	gates := Gates(view)
+	is.Equal(len(gates), 1)
+	is.Equal(gates["a"].ID, Carriers(view, map[string]int{"a": 1})[0].ID)
+	is.Equal(string(gates["a"].ID), "a2")
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -23,6 +23,8 @@
 	pool *peer.Pool
 	self *exchangepb.Frame // hello
 	now  func() time.Time
+	// Silence of its links; set it before the first leg.
+	Silence Silence
 
 	mu    sync.Mutex
 	peers map[string]*remote // by peers' address
@@ -31,10 +33,13 @@
 // NewClient makes a client whose links live until ctx ends.
 func NewClient(ctx context.Context, pool *peer.Pool, self ident.HostID, incarnation ident.Incarnation, now func() time.Time) *Client {
 	return &Client{
-		ctx:   ctx,
-		pool:  pool,
-		self:  hello(self, incarnation),
-		now:   now,
+		ctx:  ctx,
+		pool: pool,
+		self: hello(self, incarnation),
+		now:  now,
+
+		Silence: defaultSilence,
+
 		peers: make(map[string]*remote),
 	}
 }
@@ -51,6 +56,22 @@
 	return r
 }
 
+// Doubts reports whether the peer owes replies and is silent, or can't be reached.
+func (c *Client) Doubts(address string) bool {
+	c.mu.Lock()
+	r := c.peers[address]
+	c.mu.Unlock()
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.link != nil {
+		return r.link.doubtful()
+	}
+	return c.now().Sub(r.failed) < redialAfter
+}
+
 // remote is one peer: its open link, or the legs that wait for it to open.
 type remote struct {
 	client  *Client
@@ -164,7 +185,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	return newLink(conn, stream, cancel, r.client.now), ctx, nil
+	return newLink(conn, stream, cancel, r.client.now, r.client.Silence), ctx, nil
 }
 
 // serve runs the link's goroutines and cleans up when the first one ends.
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -8,21 +8,28 @@
 	"storj.io/drpc"
 
 	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
-const (
-	// pingAfter is how long a stream with open legs may be silent before it is
-	// pinged.
-	pingAfter = 200 * time.Millisecond
-	// deadAfter is how long it may be silent before it is dropped: four pings
-	// lost, and still inside the deadline of most queries, so that their legs
-	// can move to the second home.
-	deadAfter = time.Second
-	// idleAfter closes streams that carried no leg for this long.
-	idleAfter = time.Minute
-)
+// Silence says what a link without frames means while legs are open on it.
+type Silence struct {
+	// Ping is how long it may last before the peer is pinged.
+	Ping time.Duration
+	// Doubt is how long it may last before Client.Doubts says so, for callers
+	// that have another way.
+	Doubt time.Duration
+	// Dead is how long it may last before the link is dropped.
+	Dead time.Duration
+}
+
+// defaultSilence drops a link after four pings lost, and still inside the
+// deadline of most queries, so that their legs can move to the second home.
+var defaultSilence = Silence{Ping: 200 * time.Millisecond, Doubt: 500 * time.Millisecond, Dead: time.Second}
+
+// idleAfter closes streams that carried no leg for this long.
+const idleAfter = time.Minute
 
 // link is one open stream to a peer, as the side that sends legs.
 type link struct {
@@ -31,10 +38,12 @@
 	cancel context.CancelFunc
 	out    *outbox
 	now    func() time.Time
+	limits Silence
 
 	mu      sync.Mutex
 	nextLeg uint64
 	pending map[uint64]*pendingLeg
+	heads   heads
 	heard   time.Time // last frame from the peer
 	used    time.Time // last leg added
 	closed  bool
@@ -46,14 +55,16 @@
 	sent    bool // the writer has taken it: it may have reached the peer
 }
 
-func newLink(conn drpc.Conn, stream exchangepb.DRPCExchange_LegsClient, cancel context.CancelFunc, now func() time.Time) *link {
+func newLink(conn drpc.Conn, stream exchangepb.DRPCExchange_LegsClient, cancel context.CancelFunc, now func() time.Time, limits Silence) *link {
 	return &link{
 		conn:    conn,
 		stream:  stream,
 		cancel:  cancel,
 		out:     newOutbox(),
 		now:     now,
+		limits:  limits,
 		pending: make(map[uint64]*pendingLeg),
+		heads:   heads{open: make(map[*forward.Request]*openHead)},
 		heard:   now(),
 		used:    now(),
 	}
@@ -74,23 +85,50 @@
 	id := l.nextLeg
 	l.pending[id] = &pendingLeg{request: request, done: done}
 	l.used = l.now()
-	if !l.out.put(item{request: encodeRequest(id, request, l.now())}) {
-		delete(l.pending, id)
+	if !l.out.put(item{request: l.encode(id, request)}) {
+		l.forget(id)
 		return 0, false
 	}
 	return id, true
 }
 
+// encode makes the leg's message, after its head where that was not sent yet;
+// the lock is held.
+func (l *link) encode(id uint64, request leg.Request) *exchangepb.LegRequest {
+	if request.Server == "" {
+		return encodeRequest(id, request, l.now())
+	}
+	head, first := l.heads.use(request.Forward)
+	if first {
+		l.out.put(item{head: encodeHead(head, request.Forward)})
+	}
+	return encodeNamed(id, head, request, l.now())
+}
+
+// forget takes a leg out, with its head if no other leg has it; the lock is held.
+func (l *link) forget(id uint64) *pendingLeg {
+	p := l.pending[id]
+	delete(l.pending, id)
+	if p == nil || p.request.Server == "" {
+		return p
+	}
+	if head, last := l.heads.release(p.request.Forward); last {
+		l.out.put(item{ended: head})
+	}
+	return p
+}
+
 // drop cancels a leg; its done function is called at once.
 func (l *link) drop(id uint64) {
 	l.mu.Lock()
-	p := l.pending[id]
-	delete(l.pending, id)
+	if l.pending[id] != nil {
+		l.out.put(item{cancel: &exchangepb.LegCancel{Leg: id}})
+	}
+	p := l.forget(id)
 	l.mu.Unlock()
 	if p == nil {
 		return
 	}
-	l.out.put(item{cancel: &exchangepb.LegCancel{Leg: id}})
 	p.done(leg.Failed(p.request, result.Cancelled, sentOutcome(p), "cancelled"))
 }
 
@@ -147,10 +185,13 @@
 
 func (l *link) deliver(reply *exchangepb.LegReply) {
 	l.mu.Lock()
-	p := l.pending[reply.GetLeg()]
-	delete(l.pending, reply.GetLeg())
+	p := l.forget(reply.GetLeg())
 	l.mu.Unlock()
-	if p != nil {
+	switch {
+	case p == nil:
+	case reply.GetAttempt() != nil:
+		p.done(decodeAttempt(reply, p.request))
+	default:
 		p.done(decodeResult(reply))
 	}
 }
@@ -162,7 +203,7 @@
 // succeed. The guard holds because a live peer answers a ping at once, however
 // slow its backend servers are.
 func (l *link) watch(ctx context.Context) {
-	ticker := time.NewTicker(pingAfter)
+	ticker := time.NewTicker(l.limits.Ping)
 	defer ticker.Stop()
 	sequence := uint64(0)
 	for {
@@ -172,17 +213,24 @@
 		case <-ticker.C:
 		}
 		silent, unused, open := l.ages()
-		if open && silent >= deadAfter || !open && unused >= idleAfter {
+		if open && silent >= l.limits.Dead || !open && unused >= idleAfter {
 			l.cancel()
 			return
 		}
-		if open && silent >= pingAfter {
+		if open && silent >= l.limits.Ping {
 			sequence++
 			l.out.put(item{ping: sequence})
 		}
 	}
 }
 
+// doubtful reports whether the peer owes replies and has been silent for so long
+// that new legs should rather go another way.
+func (l *link) doubtful() bool {
+	silent, _, open := l.ages()
+	return open && silent >= l.limits.Doubt
+}
+
 func (l *link) ages() (silent, unused time.Duration, open bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/exchange/named.go
@@ -0,0 +1,133 @@
+package exchange
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// The messages of legs at a named backend server. They leave out what the sender
+// knows of its own leg: some 45 bytes there and 130 back, where the server's own
+// HTTP takes 600.
+
+func encodeNamed(id uint64, head uint32, r leg.Request, now time.Time) *exchangepb.LegRequest {
+	return &exchangepb.LegRequest{
+		Leg:          id,
+		Head:         head,
+		Server:       r.Server,
+		DeadlineInNs: int64(r.Deadline.Sub(now)),
+		MostRecords:  uint32(r.MostRecords),
+		Rest:         r.Rest,
+		Body:         r.Body,
+	}
+}
+
+func decodeNamed(m *exchangepb.LegRequest, head *forward.Request, now time.Time) leg.Request {
+	return leg.Request{
+		Server:      m.GetServer(),
+		Deadline:    now.Add(time.Duration(m.GetDeadlineInNs())),
+		Idempotent:  true,
+		MostRecords: int(m.GetMostRecords()),
+		Rest:        m.GetRest(),
+		Body:        m.GetBody(),
+		Forward:     head,
+	}
+}
+
+func encodeAttempt(id uint64, r leg.Result) *exchangepb.LegReply {
+	a := r.Attempt
+	end := &exchangepb.AttemptEnd{
+		Outcome:      uint32(a.Outcome),
+		Fault:        uint32(a.Fault),
+		Cut:          r.Cut,
+		Running:      uint32(a.Reply.Load.Running),
+		Queued:       uint32(a.Reply.Load.Queued),
+		Slots:        uint32(a.Reply.Load.Slots),
+		RetryAfterNs: int64(a.RetryAfter),
+	}
+	if a.Reply.Forwarded != nil {
+		end.Signature = a.Reply.Forwarded.Signature
+	}
+	return &exchangepb.LegReply{Leg: id, Body: r.Body, Attempt: end}
+}
+
+// decodeAttempt makes the result of the leg that the sender still knows.
+func decodeAttempt(m *exchangepb.LegReply, request leg.Request) leg.Result {
+	end := m.GetAttempt()
+	a := &backend.Attempt{
+		Outcome:    result.Outcome(end.GetOutcome()),
+		Fault:      backend.Fault(end.GetFault()),
+		RetryAfter: time.Duration(end.GetRetryAfterNs()),
+	}
+	a.Reply.Body = m.GetBody()
+	a.Reply.Snapshot = request.Snapshot
+	a.Reply.Load = backend.Load{Running: int(end.GetRunning()), Queued: int(end.GetQueued()), Slots: int(end.GetSlots())}
+	a.Reply.Forwarded = &forward.Reply{Body: m.GetBody(), Signature: end.GetSignature()}
+	r := leg.Failed(request, 0, a.Outcome, "")
+	r.Body, r.Attempt, r.Cut = m.GetBody(), a, end.GetCut()
+	return r
+}
+
+func encodeHead(id uint32, f *forward.Request) *exchangepb.Head {
+	head := &exchangepb.Head{Id: id, Method: f.Method, Target: f.Target, Host: f.Host, Attempt: f.Attempt}
+	for _, name := range slices.Sorted(maps.Keys(f.Header)) {
+		head.Headers = append(head.Headers, &exchangepb.Header{Name: name, Values: f.Header[name]})
+	}
+	return head
+}
+
+func decodeHead(m *exchangepb.Head) *forward.Request {
+	f := &forward.Request{
+		Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), Attempt: m.GetAttempt(),
+		Header: make(map[string][]string, len(m.GetHeaders())),
+	}
+	for _, h := range m.GetHeaders() {
+		f.Header[h.GetName()] = h.GetValues()
+	}
+	return f
+}
+
+// heads are the forwarded requests that a link's open legs share, so that each
+// is sent once.
+type heads struct {
+	last uint32
+	open map[*forward.Request]*openHead
+}
+
+type openHead struct {
+	id   uint32
+	legs int
+}
+
+// use counts one more leg of the request; first says that the head is to be sent.
+func (h *heads) use(f *forward.Request) (id uint32, first bool) {
+	open := h.open[f]
+	if open == nil {
+		h.last++
+		open = &openHead{id: h.last}
+		h.open[f] = open
+		first = true
+	}
+	open.legs++
+	return open.id, first
+}
+
+// release counts one leg less; last says that the head is needed no more.
+func (h *heads) release(f *forward.Request) (id uint32, last bool) {
+	open := h.open[f]
+	if open == nil {
+		return 0, false
+	}
+	open.legs--
+	if open.legs > 0 {
+		return open.id, false
+	}
+	delete(h.open, f)
+	return open.id, true
+}
--- a/exchange/outbox.go
+++ b/exchange/outbox.go
@@ -27,6 +27,8 @@
 	request *exchangepb.LegRequest
 	reply   *exchangepb.LegReply
 	cancel  *exchangepb.LegCancel
+	head    *exchangepb.Head
+	ended   uint32 // the id of a head
 	ping    uint64
 	pong    uint64
 }
@@ -105,6 +107,10 @@
 			f.Replies = append(f.Replies, it.reply)
 		case it.cancel != nil:
 			f.Cancels = append(f.Cancels, it.cancel)
+		case it.head != nil:
+			f.Heads = append(f.Heads, it.head)
+		case it.ended != 0:
+			f.EndedHeads = append(f.EndedHeads, it.ended)
 		case it.ping != 0:
 			f.Ping = it.ping
 		case it.pong != 0:
--- a/exchange/server.go
+++ b/exchange/server.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"github.com/goldcrestspan/goldcrestspan/exchange/exchangepb"
+	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 )
 
@@ -32,6 +33,8 @@
 	server *Server
 	out    *outbox
 
+	heads map[uint32]*forward.Request // owned by the reader
+
 	mu      sync.Mutex
 	cancels map[uint64]func() // by the sender's leg number
 }
@@ -41,7 +44,7 @@
 func (s *Server) Legs(stream exchangepb.DRPCExchange_LegsStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	in := &inbound{server: s, out: newOutbox(), cancels: make(map[uint64]func())}
+	in := &inbound{server: s, out: newOutbox(), heads: make(map[uint32]*forward.Request), cancels: make(map[uint64]func())}
 	defer in.cancelAll()
 	go in.write(ctx, cancel, stream)
 	for {
@@ -57,23 +60,29 @@
 	if frame.GetPing() != 0 {
 		in.out.put(item{pong: frame.GetPing()})
 	}
+	for _, head := range frame.GetHeads() {
+		in.heads[head.GetId()] = decodeHead(head)
+	}
 	for _, request := range frame.GetRequests() {
 		in.run(request)
 	}
 	for _, c := range frame.GetCancels() {
 		in.cancel(c.GetLeg())
 	}
+	for _, id := range frame.GetEndedHeads() {
+		delete(in.heads, id)
+	}
 }
 
 func (in *inbound) run(m *exchangepb.LegRequest) {
 	id := m.GetLeg()
 	ended := false
-	cancel := in.server.runner.Run(decodeRequest(m, in.server.now()), func(r leg.Result) {
+	cancel := in.server.runner.Run(in.decode(m), func(r leg.Result) {
 		in.mu.Lock()
 		ended = true
 		delete(in.cancels, id)
 		in.mu.Unlock()
-		in.out.put(item{reply: encodeResult(id, r)})
+		in.out.put(item{reply: encodeReply(id, r)})
 	})
 	in.mu.Lock()
 	if !ended {
@@ -82,6 +91,20 @@
 	in.mu.Unlock()
 }
 
+func (in *inbound) decode(m *exchangepb.LegRequest) leg.Request {
+	if m.GetServer() != "" {
+		return decodeNamed(m, in.heads[m.GetHead()], in.server.now())
+	}
+	return decodeRequest(m, in.server.now())
+}
+
+func encodeReply(id uint64, r leg.Result) *exchangepb.LegReply {
+	if r.Attempt != nil {
+		return encodeAttempt(id, r)
+	}
+	return encodeResult(id, r)
+}
+
 func (in *inbound) cancel(id uint64) {
 	in.mu.Lock()
 	cancel := in.cancels[id]
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,7 +3,12 @@
 // body or rewrites the target.
 package forward
 
-import "net/http"
+import (
+	"context"
+	"math"
+	"net/http"
+	"strings"
+)
 
 // Request is a caller's request as it goes to a backend server.
 type Request struct {
@@ -16,6 +21,23 @@
 	// Header holds the end-to-end headers; it is shared by all attempts and
 	// must not be changed.
 	Header http.Header
+	// Merge is set where the answers of several services are merged.
+	Merge *Merge
+}
+
+// Merge says how the answers of several services become one.
+type Merge struct {
+	RecordSize int // bytes
+	Greatest   int // records of the merged answer
+	Services   int
+}
+
+// MostPerPart is how many records of one part the merged answer will hardly ever
+// need more of: the mean and four standard deviations of a part's share.
+func (m Merge) MostPerPart() int {
+	share := float64(m.Greatest) / float64(max(m.Services, 1))
+	const deviations = 4
+	return min(m.Greatest, int(math.Ceil(share+deviations*math.Sqrt(share))))
 }
 
 // Reply is a backend server's whole reply.
@@ -26,6 +48,9 @@
 	Body   []byte
 	// Signature is the server's mark on the reply; empty if it gave none.
 	Signature string
+	// Rest is set where Body holds only the greatest records of a part; it
+	// fetches all of them.
+	Rest func(ctx context.Context) ([]byte, error)
 }
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
@@ -48,3 +73,12 @@
 	}
 	return kept
 }
+
+// splitNames splits a comma-separated list of header names.
+func splitNames(value string) []string {
+	names := strings.Split(value, ",")
+	for i := range names {
+		names[i] = strings.TrimSpace(names[i])
+	}
+	return names
+}
--- /dev/null
+++ b/gateway/far.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/entry"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// farSilence is that of the links to hosts of other availability zones. A part
+// can always go to its server directly, so a host is doubted soon: two pings
+// lost, at 1 ms there and back.
+var farSilence = exchange.Silence{
+	Ping:  40 * time.Millisecond,
+	Doubt: 100 * time.Millisecond,
+	Dead:  400 * time.Millisecond,
+}
+
+// mostFarBody bounds the bodies of calls that go through a peer: each part
+// carries its own copy.
+const mostFarBody = 512
+
+// farRunner runs parts at backend servers of other availability zones through a
+// host there.
+//
+// Load: a third of the services have no server in a host's own zone, and of the
+// others each third part finds the near server full. Harm prevented: each part's
+// request and reply cross zones with all their headers, some 600 bytes, and the
+// users pay for these bytes. Through a host there the request's head crosses once
+// for all parts, and of each part only the records that the merged answer can
+// need. Limits: only parts of merged answers, which may run twice; only through a
+// host that answers, or else directly.
+type farRunner struct {
+	direct backend.Runner
+	zone   string
+	view   func() *member.View
+	links  *exchange.Client
+	log    *zap.Logger
+	parts  *prometheus.CounterVec // by way
+
+	gates atomic.Pointer[gates]
+}
+
+// gates are the hosts to go through, by zone, of one view.
+type gates struct {
+	of     *member.View
+	byZone map[string]string // peers' addresses
+}
+
+// Run implements backend.Runner.
+func (r *farRunner) Run(ctx context.Context, server backend.Server, call backend.Call) backend.Attempt {
+	if server.Zone == r.zone {
+		return r.direct.Run(ctx, server, call)
+	}
+	if address, ok := r.gate(server, call); ok {
+		if end, made := r.through(ctx, address, server, call); made {
+			r.parts.WithLabelValues(wayPeer).Inc()
+			return end
+		}
+	}
+	r.parts.WithLabelValues(wayDirect).Inc()
+	return r.direct.Run(ctx, server, call)
+}
+
+// The ways to a backend server of another availability zone, in metrics.
+const (
+	wayPeer   = "peer"
+	wayDirect = "direct"
+	wayRest   = "rest" // the whole of a part that was cut
+)
+
+func newFarParts(registerer prometheus.Registerer) (*prometheus.CounterVec, error) {
+	parts := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "goldcrestspan", Name: "far_parts_total",
+		Help: "Parts of answers from servers of other availability zones, by way: peer, direct, rest.",
+	}, []string{"way"})
+	return parts, registerer.Register(parts)
+}
+
+// gate is the host to go through; false: the call goes to the server directly.
+func (r *farRunner) gate(server backend.Server, call backend.Call) (address string, ok bool) {
+	if !call.Idempotent || call.Forward == nil || call.Forward.Merge == nil || len(call.Body) > mostFarBody {
+		return "", false
+	}
+	address, ok = r.currentGates()[server.Zone]
+	return address, ok && !r.links.Doubts(address)
+}
+
+func (r *farRunner) currentGates() map[string]string {
+	view := r.view()
+	if current := r.gates.Load(); current != nil && current.of == view {
+		return current.byZone
+	}
+	next := &gates{of: view, byZone: make(map[string]string)}
+	for zone, host := range entry.Gates(view) {
+		if host.State == member.StateAlive {
+			next.byZone[zone] = host.PeerAddress
+		}
+	}
+	r.gates.Store(next)
+	return next.byZone
+}
+
+// through runs the call through a peer. made is false if it surely has not gone
+// to the server.
+func (r *farRunner) through(ctx context.Context, address string, server backend.Server, call backend.Call) (end backend.Attempt, made bool) {
+	request := leg.Request{
+		Request: call.Request, Service: call.Service, Shard: call.Shard, Snapshot: call.Snapshot,
+		Deadline: call.Deadline, Idempotent: true, Body: call.Body, Forward: call.Forward,
+		Server: server.Name, MostRecords: call.Forward.Merge.MostPerPart(),
+	}
+	ended := r.ask(ctx, address, request)
+	switch {
+	case ended.Attempt != nil:
+		end = *ended.Attempt
+		if ended.Cut {
+			end.Reply.Forwarded.Rest = func(ctx context.Context) ([]byte, error) { return r.rest(ctx, address, request) }
+		}
+		return end, true
+	case !time.Now().Before(call.Deadline):
+		return backend.Attempt{Outcome: ended.Outcome, Fault: backend.FaultDeadline}, true
+	case ctx.Err() != nil:
+		return backend.Attempt{Outcome: ended.Outcome, Fault: backend.FaultCancelled}, true
+	case ended.Outcome.NotRun():
+		return backend.Attempt{}, false
+	default:
+		r.log.Info("peer that a part went through is lost", zap.String("request", call.Forward.Attempt), zap.String("peer", address), zap.String("server", server.Name))
+		return backend.Attempt{Outcome: ended.Outcome, Fault: backend.FaultPeerLost}, true
+	}
+}
+
+// ask sends a leg to a peer and waits for its end, at most until ctx ends.
+func (r *farRunner) ask(ctx context.Context, address string, request leg.Request) leg.Result {
+	results := make(chan leg.Result, 1)
+	cancel := r.links.To(address).Run(request, func(ended leg.Result) { results <- ended })
+	select {
+	case ended := <-results:
+		return ended
+	case <-ctx.Done():
+		cancel()
+		return <-results
+	}
+}
+
+// rest fetches all records of a part that the peer has cut.
+func (r *farRunner) rest(ctx context.Context, address string, request leg.Request) ([]byte, error) {
+	r.parts.WithLabelValues(wayRest).Inc()
+	request.Rest, request.MostRecords = true, 0
+	ended := r.ask(ctx, address, request)
+	if ended.Attempt == nil || ended.Attempt.Outcome != result.OutcomeRan {
+		return nil, &result.Error{Code: result.HomeUnavailable, Detail: "the rest of a part was not had from " + address}
+	}
+	return ended.Body, nil
+}
--- /dev/null
+++ b/gateway/far_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// echoRunner answers each call with ten records.
+type echoRunner struct{ calls chan backend.Call }
+
+func (r echoRunner) Run(_ context.Context, _ backend.Server, call backend.Call) backend.Attempt {
+	r.calls <- call
+	body := make([]byte, 10*recordSize)
+	return backend.Attempt{Outcome: result.OutcomeRan, Reply: backend.Reply{Body: body, Forwarded: &forward.Reply{Signature: "s"}}}
+}
+
+func askFar(s *farServer, request leg.Request) leg.Result {
+	ended := make(chan leg.Result, 1)
+	s.Run(request, func(r leg.Result) { ended <- r })
+	return <-ended
+}
+
+func farRequest(server string) leg.Request {
+	return leg.Request{
+		Server: server, MostRecords: 3, Deadline: time.Now().Add(time.Minute), Idempotent: true,
+		Forward: &forward.Request{Attempt: "attempt"},
+	}
+}
+
+// A server leaves, and the host that sends a part has not heard of it yet. The
+// host near the server has, and must pass nothing on; the part has not run and
+// may go elsewhere.
+func TestPeerPassesNothingOnToALeavingServer(t *testing.T) {
+	is := is.New(t)
+	runner := echoRunner{calls: make(chan backend.Call, 1)}
+	s, err := newFarServer(runner)
+	is.NoErr(err)
+	is.Equal(askFar(s, farRequest("server")).Outcome, result.OutcomeUnsent) // nothing is known yet
+	s.setServers(map[string]backend.Server{"other": {Name: "other"}})
+	refused := askFar(s, farRequest("server"))
+	is.Equal(refused.Outcome, result.OutcomeUnsent)
+	is.True(refused.Attempt == nil)
+	is.Equal(len(runner.calls), 0)
+}
+
+// The host near the servers sends three of ten records, and all of them when
+// they turn out to be needed, as long as it keeps them.
+func TestPeerKeepsWhatItCuts(t *testing.T) {
+	is := is.New(t)
+	s, err := newFarServer(echoRunner{calls: make(chan backend.Call, 1)})
+	is.NoErr(err)
+	s.setServers(map[string]backend.Server{"server": {Name: "server"}})
+	part := askFar(s, farRequest("server"))
+	is.True(part.Cut)
+	is.Equal(len(part.Body), 3*recordSize)
+	rest := farRequest("server")
+	rest.Rest = true
+	is.Equal(len(askFar(s, rest).Body), 10*recordSize)
+	rest.Forward = &forward.Request{Attempt: "another"}
+	is.True(askFar(s, rest).Attempt == nil)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,10 @@
 	servers     *discover.Follower
 	pool        *peer.Pool
 	peers       *peer.Server
+	farServer   *farServer
+	// live ends after the planned stop; links to peers end with it.
+	live context.Context
+	end  context.CancelFunc
 
 	inForce  atomic.Pointer[configuration]
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
@@ -119,7 +123,9 @@
 		ended:        make(chan struct{}),
 		serverStates: make(map[string]serverState),
 	}
+	g.live, g.end = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
+		g.end()
 		return nil, err
 	}
 	return g, nil
@@ -158,9 +164,8 @@
 // Run serves peers and follows the store until ctx ends, then makes a planned
 // stop and returns when nothing is in flight or the stop's limit has passed.
 func (g *Gateway) Run(ctx context.Context) error {
-	live, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	group, live := errgroup.WithContext(live)
+	defer g.end()
+	group, live := errgroup.WithContext(g.live)
 	run := func(name string, f func(context.Context) error) {
 		group.Go(func() error { return errors.Wrap(f(live), name) })
 	}
@@ -177,7 +182,7 @@
 			g.plannedStop(live)
 		case <-live.Done():
 		}
-		end()
+		g.end()
 		return nil
 	})
 	return group.Wait()
--- /dev/null
+++ b/gateway/merge_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+var errRest = errors.New("the peer has gone")
+
+// drawnPart is a part with n records of few values, so that many are equal.
+func drawnPart(rnd *rand.Rand, n int) []byte {
+	var body []byte
+	for range n {
+		record := make([]byte, recordSize)
+		record[0], record[1] = byte(rnd.IntN(4)), byte(rnd.IntN(8))
+		body = append(body, record...)
+	}
+	return body
+}
+
+// Parts come with their greatest records only, and sometimes one part holds most
+// of what belongs into the answer. An advertiser's slot would be missing from an
+// answer that claims to have looked at its shard. Whatever was cut, the answer
+// must be that of the whole parts that it names.
+func TestAnswerOfCutPartsIsThatOfWholeOnes(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var fetched atomic.Int64
+	dropped, failed := 0, 0
+	for range 3000 {
+		r := &route.Route{Greatest: 1 + rnd.IntN(8), LeastShare: 0.5}
+		answer := &scatter.Answer{Code: result.Complete, Total: 4}
+		whole := make(map[string][]byte)
+		for i := range answer.Total {
+			body := drawnPart(rnd, rnd.IntN(10))
+			reply := &forward.Reply{Signature: string(rune('a' + i))}
+			whole[reply.Signature] = body
+			part := scatter.Part{Body: body, Reply: reply}
+			if most := 1 + rnd.IntN(4); len(body) > most*recordSize {
+				part.Body = scatter.Greatest([][]byte{body}, recordSize, most)
+				lost := rnd.IntN(4) == 0
+				reply.Rest = func(context.Context) ([]byte, error) {
+					fetched.Add(1)
+					if lost {
+						return nil, errRest
+					}
+					return body, nil
+				}
+			}
+			answer.Parts = append(answer.Parts, part)
+		}
+		m := merge(t.Context(), r, answer)
+		if m == nil {
+			failed++
+			is.Equal(answer.Code, result.CoverageTooLow)
+			is.Equal(len(answer.Parts), 0)
+			continue
+		}
+		is.Equal(m.Missing, answer.Total-len(m.Signatures))
+		if m.Missing > 0 {
+			dropped++
+			is.Equal(answer.Code, result.Partial)
+		}
+		var named [][]byte
+		for _, signature := range m.Signatures {
+			named = append(named, whole[signature])
+		}
+		is.True(bytes.Equal(m.Records, scatter.Greatest(named, recordSize, r.Greatest)))
+	}
+	t.Logf("fetched %d, dropped %d, failed %d", fetched.Load(), dropped, failed)
+	is.True(fetched.Load() > 100 && dropped > 100 && failed > 0)
+}
+
+// A search of twenty shards wants the greatest twenty: five records of each part
+// are enough nearly always, and for a screen's five three.
+func TestFewRecordsOfEachPartAreEnough(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ greatest, services, wanted int }{{20, 20, 5}, {5, 20, 3}, {20, 90, 3}, {5, 1, 5}, {0, 20, 0}} {
+		m := forward.Merge{RecordSize: recordSize, Greatest: c.greatest, Services: c.services}
+		is.Equal(m.MostPerPart(), c.wanted)
+	}
+	rnd := rand.New(rand.NewPCG(3, 4))
+	m := forward.Merge{RecordSize: recordSize, Greatest: 20, Services: 20}
+	short, answers := 0, 2000
+	for range answers {
+		of := make([]int, m.Services) // how many of the greatest each part holds
+		for range m.Greatest {
+			of[rnd.IntN(m.Services)]++
+		}
+		for _, n := range of[:7] { // a third of the services are far
+			if n > m.MostPerPart() {
+				short++
+			}
+		}
+	}
+	is.True(short < answers/100)
+}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/discover"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
@@ -34,6 +35,7 @@
 	Relay       *discover.Relay
 	Pool        *peer.Pool
 	Peers       *peer.Server
+	FarServer   *farServer
 }
 
 // build wires the parts in one place; the container orders the constructors.
@@ -47,6 +49,10 @@
 		peer.NewServer,
 		discover.NewRelay,
 		g.newMembers,
+		g.newFarRunner,
+		func() (*farServer, error) {
+			return newFarServer(loggedRunner{g.options.Backends, g.log, g.options.Now})
+		},
 		g.newHomes,
 		g.newCoordinator,
 	} {
@@ -57,7 +63,7 @@
 	err := container.Invoke(func(b built) {
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
 		g.coordinator, g.relay = b.Coordinator, b.Relay
-		g.pool, g.peers = b.Pool, b.Peers
+		g.pool, g.peers, g.farServer = b.Pool, b.Peers, b.FarServer
 	})
 	if err != nil {
 		return err
@@ -65,6 +71,9 @@
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
+	if err := exchange.NewServer(g.farServer, g.options.Now).Register(g.peers.Mux()); err != nil {
+		return err
+	}
 	g.configs = g.newFollower(g.options.ConfigKey, nil, g.applyConfigs)
 	g.servers = g.newFollower(g.options.ServersPrefix, g.settleServers, g.applyServers)
 	return g.relay.Register(g.peers.Mux(), g.configs, g.servers)
@@ -92,8 +101,18 @@
 	})
 }
 
-func (g *Gateway) newHomes(counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(loggedRunner{g.options.Backends, g.log, g.options.Now}, counters, trusting{}, g.options.Now, g.homesConfig)
+func (g *Gateway) newFarRunner(pool *peer.Pool, members *member.Agent, registry *prometheus.Registry) (*farRunner, error) {
+	parts, err := newFarParts(registry)
+	if err != nil {
+		return nil, err
+	}
+	links := exchange.NewClient(g.live, pool, ident.HostID(g.options.Name), members.Incarnation(), g.options.Now)
+	links.Silence = farSilence
+	return &farRunner{direct: g.options.Backends, zone: g.options.Zone, view: members.View, links: links, log: g.log, parts: parts}, nil
+}
+
+func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
+	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now}, counters, trusting{}, g.options.Now, g.homesConfig)
 	budget := g.options.Budget.tune(hostsSharing)
 	homes.SetTune(func(config *home.Config) {
 		budget(config)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -118,7 +118,7 @@
 
 func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
 	answer := g.coordinator.Run(ctx, g.work(c, r, service, q))
-	out := g.encode(r, answer)
+	out := encode(ctx, r, answer)
 	took := g.options.Now().Sub(q.Arrived)
 	class := className(r) // the host name stands for the caller, who is not named here
 	g.metrics.Request(r.Host, class, answer.Code, took)
@@ -144,6 +144,7 @@
 		plan.Snapshot = c.shards[r]
 		plan.LeastCoverage = r.LeastShare
 		plan.Prefer = bundle.PreferLatency
+		q.Forward.Merge = &forward.Merge{RecordSize: recordSize, Greatest: r.Greatest, Services: len(r.Shards)}
 	}
 	return scatter.Work{
 		Plan:       plan,
@@ -171,11 +172,13 @@
 	return wait
 }
 
-func (g *Gateway) encode(r *route.Route, answer *scatter.Answer) *Answer {
-	out := &Answer{Code: answer.Code, Detail: answer.Detail, RetryAfter: answer.RetryAfter}
+func encode(ctx context.Context, r *route.Route, answer *scatter.Answer) *Answer {
+	var parts *Merged
+	if r.AsksAll() && answered(answer.Code) {
+		parts = merge(ctx, r, answer)
+	}
+	out := &Answer{Code: answer.Code, Detail: answer.Detail, RetryAfter: answer.RetryAfter, Merged: parts}
 	switch {
-	case r.AsksAll() && answered(answer.Code):
-		out.Merged = merge(r, answer)
 	case !r.AsksAll() && len(answer.Parts) == 1:
 		out.Reply = answer.Parts[0].Reply
 	case !r.AsksAll() && len(answer.Missing) == 1 && !answer.Code.NotRun():
@@ -188,17 +191,6 @@
 	return code.Group() == result.GroupComplete || code.Group() == result.GroupPartial
 }
 
-func merge(r *route.Route, answer *scatter.Answer) *Merged {
-	merged := &Merged{Missing: len(answer.Missing)}
-	bodies := make([][]byte, 0, len(answer.Parts))
-	for _, part := range answer.Parts {
-		bodies = append(bodies, part.Body)
-		merged.Signatures = append(merged.Signatures, part.Reply.Signature)
-	}
-	merged.Records = scatter.Greatest(bodies, recordSize, r.Greatest)
-	return merged
-}
-
 func (g *Gateway) phase() drain.Phase {
 	stop := g.stop.Load()
 	if stop == nil {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -34,6 +34,7 @@
 // with a fifth of a core.
 func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
 	known := make(map[string][]homeserver.Known)
+	inService := make(map[string]backend.Server, len(objects))
 	zones := make(map[string]int)
 	for _, object := range objects {
 		state := g.decodeServer(object)
@@ -41,11 +42,11 @@
 			continue
 		}
 		entry := state.entry
+		server := backend.Server{
+			Name: entry.Name, Address: entry.Address, Service: entry.Service, Zone: entry.Zone, Incarnation: 1,
+		}
 		known[entry.Service] = append(known[entry.Service], homeserver.Known{
-			Server: backend.Server{
-				Name: entry.Name, Address: entry.Address, Service: entry.Service,
-				Zone: entry.Zone, Incarnation: 1,
-			},
+			Server:   server,
 			SameZone: entry.Zone == g.options.Zone,
 			Leaving:  entry.Leaving,
 			Slots:    entry.Slots,
@@ -53,10 +54,12 @@
 		})
 		if !entry.Leaving {
 			zones[entry.Zone]++
+			inService[entry.Name] = server
 		}
 	}
 	g.dropServers(objects)
 	g.zones.Store(&zones)
+	g.farServer.setServers(inService)
 	g.homes.SetServers(known)
 	g.serversAt.Store(revision)
 	g.announce()
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -34,6 +35,14 @@
 	MaxServers int
 	// Forward is set for a request that is passed on as its caller sent it.
 	Forward *forward.Request
+	// Server names the one backend server to run the leg at; empty: the home of
+	// Service chooses one.
+	Server string
+	// MostRecords of the answer of a named server are sent back, the greatest;
+	// 0: all.
+	MostRecords int
+	// Rest asks for all records of an answer of a named server that was cut.
+	Rest bool
 }
 
 // Result is how a leg ended. Request and Shard are echoes, which the root
@@ -58,6 +67,11 @@
 	// began; UnknownWait when none began or the home did not say.
 	Wait       time.Duration
 	RetryAfter time.Duration
+	// Attempt is how the attempt at a named server ended; nil: it was not made,
+	// or nothing is known of it.
+	Attempt *backend.Attempt
+	// Cut: Body holds only the greatest records.
+	Cut bool
 }
 
 // Strain says how far a service lately was above its capacity for a class.
