--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc"
 
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
@@ -229,10 +230,5 @@
 // pause waits for about d, so that hosts that lost the platform together do
 // not come back to it in step.
 func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d*3/4 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	wait.For(ctx, d*3/4+rand.N(d/2))
 }
--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -109,13 +110,13 @@
 // Query runs a search by ctx's deadline, which it must have. A reply without an
 // answer comes as *result.Error; any other error means that no reply was had.
 func (c *Client) Query(ctx context.Context, route string, q Query) (*Answer, error) {
-	wait, err := c.timeLeft(ctx)
+	left, err := c.timeLeft(ctx)
 	if err != nil {
 		return nil, err
 	}
 	m := front.QueryRequest{Class: q.Class, Body: q.Body, Detail: q.Detail}
 	return c.do(ctx, "/v1/query/"+route, true, func(bool) any {
-		m.DeadlineMS = max(wait().Milliseconds(), 1)
+		m.DeadlineMS = max(left().Milliseconds(), 1)
 		return m
 	})
 }
@@ -130,11 +131,11 @@
 	tried := make(map[string]bool)
 	for attempt := 1; ; attempt++ {
 		ticket, err := c.ticketOnce(ctx, route, tried)
-		wait, again := c.again(err, true)
-		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, wait) || !c.budget.withdraw() {
+		after, again := c.again(err, true)
+		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, after) || !c.budget.withdraw() {
 			return ticket, err
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, after)
 	}
 }
 
@@ -154,7 +155,7 @@
 // any error: it never runs twice, and a repeat gets the first one's outcome. A
 // repeat sets Resent, so that no host calls it "not run" without knowing.
 func (c *Client) Book(ctx context.Context, route, ticket string, b Booking) (*Answer, error) {
-	wait, err := c.timeLeft(ctx)
+	left, err := c.timeLeft(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -162,7 +163,7 @@
 		return front.BookingRequest{
 			Ticket:     ticket,
 			Body:       b.Body,
-			DeadlineMS: max(wait().Milliseconds(), 1),
+			DeadlineMS: max(left().Milliseconds(), 1),
 			Resent:     resent || b.Resent,
 		}
 	})
@@ -186,11 +187,11 @@
 			return nil, errors.Wrap(err, "client: body is not JSON")
 		}
 		answer, err := c.once(ctx, sending{path: path, body: body, resent: attempt > 1}, tried)
-		wait, again := c.again(err, idempotent)
-		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, wait) || !c.budget.withdraw() {
+		after, again := c.again(err, idempotent)
+		if !again || attempt >= c.options.MaxTries || !c.mayWait(ctx, after) || !c.budget.withdraw() {
 			return answer, err
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, after)
 	}
 }
 
@@ -260,19 +261,7 @@
 	}
 }
 
-func (c *Client) mayWait(ctx context.Context, wait time.Duration) bool {
+func (c *Client) mayWait(ctx context.Context, after time.Duration) bool {
 	deadline, ok := ctx.Deadline()
-	return !ok || deadline.Sub(c.options.Now()) > wait+lastWait
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	return !ok || deadline.Sub(c.options.Now()) > after+lastWait
 }
--- a/discover/follower.go
+++ b/discover/follower.go
@@ -339,6 +339,7 @@
 		return
 	}
 	revision := f.revision.Load()
-	f.known.Store(f.mirror.known(revision))
-	f.config.Apply(f.mirror.Objects(), revision)
+	objects := f.mirror.Objects()
+	f.known.Store(f.mirror.known(objects, revision))
+	f.config.Apply(objects, revision)
 }
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -177,10 +177,11 @@
 	return list
 }
 
-// known is a copy for peers, without what is about to be removed.
-func (m *Mirror) known(revision uint64) *known {
+// known is a copy of what is believed for peers, without what is about to be
+// removed.
+func (m *Mirror) known(believed []metastore.Object, revision uint64) *known {
 	k := &known{revision: revision, removed: maps.Clone(m.gone), since: m.goneSince, doubtUntil: m.doubtUntil}
-	for _, object := range m.Objects() {
+	for _, object := range believed {
 		if _, leaves := m.removing[object.Key]; !leaves {
 			k.objects = append(k.objects, object)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,6 @@
 	relay       *discover.Relay
 	configs     *discover.Follower
 	servers     *discover.Follower
-	pool        *peer.Pool
 	peers       *peer.Server
 	farServer   *farServer
 	// live ends after the planned stop; links to peers end with it.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -33,7 +33,6 @@
 	Homes       *homeserver.Server
 	Coordinator *scatter.Coordinator
 	Relay       *discover.Relay
-	Pool        *peer.Pool
 	Peers       *peer.Server
 	FarServer   *farServer
 }
@@ -63,7 +62,7 @@
 	err := container.Invoke(func(b built) {
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
 		g.coordinator, g.relay = b.Coordinator, b.Relay
-		g.pool, g.peers, g.farServer = b.Pool, b.Peers, b.FarServer
+		g.peers, g.farServer = b.Peers, b.FarServer
 	})
 	if err != nil {
 		return err
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 )
@@ -37,11 +38,11 @@
 // store, and asks for the others' when no peer of the settings answers. The
 // store so sees a few calls for each start of a fleet, however large.
 func (g *Gateway) register(ctx context.Context) error {
-	if sleep(ctx, joinWait) && g.members.Joined() {
-		sleep(ctx, meetWait)
+	if wait.For(ctx, joinWait) && g.members.Joined() {
+		wait.For(ctx, meetWait)
 	}
-	for wait := time.Duration(0); sleep(ctx, wait); {
-		wait = watcherCheck
+	for pause := time.Duration(0); wait.For(ctx, pause); {
+		pause = watcherCheck
 		if !g.watches() {
 			continue
 		}
@@ -50,23 +51,11 @@
 			return nil
 		}
 		g.log.Warn("registration failed and is tried again", observe.Reason(err))
-		wait = registerRetry
+		pause = registerRetry
 	}
 	return nil
 }
 
-// sleep waits and reports whether ctx has not ended.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (g *Gateway) registerOnce(ctx context.Context) error {
 	entries, _, err := g.options.Store.List(ctx, g.options.HostsPrefix)
 	if err != nil {
--- a/load/direct.go
+++ b/load/direct.go
@@ -8,6 +8,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -144,7 +145,7 @@
 			return false
 		}
 		if attempt%len(replicas) == 0 {
-			pause(ctx, refusedPause)
+			wait.For(ctx, refusedPause)
 		}
 	}
 	return false
@@ -193,12 +194,3 @@
 	defer func() { <-c.slots[to.place] }()
 	return c.runner.Run(ctx, to.server(), call)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/load/inject.go
+++ b/load/inject.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -58,7 +59,7 @@
 func (in *injector) run(ctx context.Context, events []Event) {
 	for _, e := range events {
 		in.work.Go(func() {
-			pause(ctx, time.Until(in.start.Add(time.Duration(e.At))))
+			wait.For(ctx, time.Until(in.start.Add(time.Duration(e.At))))
 			if ctx.Err() != nil {
 				return
 			}
@@ -127,7 +128,7 @@
 	if e.For == 0 {
 		return
 	}
-	pause(ctx, time.Duration(e.For))
+	wait.For(ctx, time.Duration(e.For))
 	in.setPlatform(func(f *standin.PlatformFaults) { set(f, false) })
 }
 
@@ -236,7 +237,7 @@
 	in.mark(e, noteOf(err))
 	for _, standIn := range in.bed.Backends {
 		standIn.Hold(e.Index, version)
-		pause(ctx, loadEvery)
+		wait.For(ctx, loadEvery)
 	}
 }
 
@@ -328,6 +329,6 @@
 	if length == 0 {
 		return
 	}
-	pause(ctx, length)
+	wait.For(ctx, length)
 	undo()
 }
--- a/load/load.go
+++ b/load/load.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 	"github.com/goldcrestspan/goldcrestspan/testbed"
@@ -253,7 +254,7 @@
 // progress writes a line a second.
 func (r *run) progress(ctx context.Context) {
 	for {
-		pause(ctx, time.Second)
+		wait.For(ctx, time.Second)
 		if ctx.Err() != nil {
 			return
 		}
@@ -276,6 +277,6 @@
 			status := host.Status()
 			r.checker.Generation(fmt.Sprintf("%s/%d", status.Host, status.Incarnation), status.Generation)
 		}
-		pause(ctx, sampleEvery)
+		wait.For(ctx, sampleEvery)
 	}
 }
--- a/metastore/client.go
+++ b/metastore/client.go
@@ -17,6 +17,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 )
 
 // Defaults of ClientOptions. The platform takes several hundred writes and
@@ -254,14 +256,7 @@
 	if ok && time.Until(deadline) <= delay {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, delay)
 }
 
 // call is one request to one address.
--- a/stop.go
+++ b/stop.go
@@ -13,9 +13,6 @@
 	"github.com/goldcrestspan/goldcrestspan/drain"
 )
 
-// stopPoll is how often a planned stop looks at what is in flight.
-const stopPoll = 20 * time.Millisecond
-
 // plannedStop leaves the advice, serves on while callers may keep old advice,
 // refuses new work, and returns when nothing is in flight or the limit passed.
 func (h *Host) plannedStop(live context.Context) {
@@ -25,20 +22,9 @@
 	}
 	stop := drain.Begin(h.parts.Now(), keep, h.parts.Settings.Limits.StopWait)
 	h.stop.Store(stop)
-	h.parts.Log.Info("planned stop began", zap.Duration("at_most", stop.Remaining(h.parts.Now())))
 	h.leave(live)
-	last := drain.PhaseServing
-	for live.Err() == nil {
-		phase := stop.Phase(h.parts.Now(), h.busy())
-		if phase != last {
-			h.parts.Log.Info("planned stop", zap.Stringer("phase", phase), zap.Int("in_flight", h.busy()))
-			last = phase
-		}
-		if phase == drain.PhaseDone {
-			h.stopBookings(live, stop)
-			return
-		}
-		time.Sleep(stopPoll)
+	if stop.Wait(live, h.parts.Now, h.busy, h.parts.Log) {
+		h.stopBookings(live, stop)
 	}
 }
 
