--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
@@ -31,3 +33,15 @@
 	enc.AddString("detail", m.Detail)
 	return nil
 }
+
+// logServer writes a line about what a home believes of a backend server.
+func (g *Gateway) logServer(service string, change home.ServerChange) {
+	fields := []zap.Field{
+		zap.String("server", change.Server), zap.String("service", service), zap.Stringer("state", change.State),
+		zap.Int("faults", change.Faults), zap.Int("refusals", change.Refusals), zap.Int("running", change.Running),
+	}
+	if !change.Until.IsZero() {
+		fields = append(fields, zap.Duration("idle_for", change.Until.Sub(g.options.Now())))
+	}
+	g.log.Info("backend server changed state", fields...)
+}
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -20,6 +20,7 @@
 // dispatch drops what can't be met any more and starts what can be started.
 func (h *Home) dispatch(now time.Time, acts []Action) []Action {
 	h.survey(now)
+	h.noteStates(now)
 	h.demoteLate(now)
 	h.shedExcess(now)
 	acts = h.dropLate(now, acts)
--- a/home/server.go
+++ b/home/server.go
@@ -50,7 +50,8 @@
 
 	others     int // requests that are not this home's, by the server's report
 	reportedAt time.Time
-	answeredAt time.Time // the last answer
+	answeredAt time.Time   // the last answer
+	noted      ServerState // as TakeChanges told it last
 }
 
 func newServer(now time.Time, spec ServerSpec, cfg *Config, warm bool) *server {
--- a/home/state.go
+++ b/home/state.go
@@ -29,8 +29,9 @@
 	bytes       int       // of waiting bodies
 	lastGood    time.Time // a server last gave an answer, or the first was known
 
-	decidedAt  time.Time // of the last decision
-	strainedAt time.Time // a leg was last put back for lack of capacity
+	changes    []ServerChange // not yet taken
+	decidedAt  time.Time      // of the last decision
+	strainedAt time.Time      // a leg was last put back for lack of capacity
 
 	// worked out by survey
 	totalSlots, usableCount int
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -43,6 +43,7 @@
 	now     func() time.Time
 	inForce func() *bundle.Config
 	tune    Tune
+	hear    func(service string, change home.ServerChange)
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -85,6 +86,16 @@
 // leg runs.
 func (s *Server) SetTune(tune Tune) { s.tune = tune }
 
+// SetHear makes the server tell what the homes believe of backend servers; call
+// it before any leg runs. hear must not block.
+func (s *Server) SetHear(hear func(service string, change home.ServerChange)) { s.hear = hear }
+
+func (s *Server) told(service string, change home.ServerChange) {
+	if s.hear != nil {
+		s.hear(service, change)
+	}
+}
+
 // Refresh puts the configuration in force into the homes. Legs that come find
 // it by themselves; those that wait already need the call.
 func (s *Server) Refresh() {
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -134,8 +134,12 @@
 	s.mu.Lock()
 	s.acts = decision(s.server.now(), s.acts[:0])
 	endings := s.carryOut(s.acts)
+	changes := s.home.TakeChanges()
 	s.setTimer()
 	s.mu.Unlock()
+	for _, change := range changes {
+		s.server.told(s.name, change)
+	}
 	for _, e := range endings {
 		e.done(e.result)
 	}
