--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,19 +42,10 @@
 	CallerAddress string
 	// Peers is the listener of the other hosts' calls.
 	Peers net.Listener
-	// Seeds are addresses of peers to begin with, IP and port; some may be down.
-	Seeds []string
 	// ConfigKey, ServersPrefix and HostsPrefix are where the operator's
 	// configuration, the backend servers' entries and the hosts' own stand.
 	ConfigKey, ServersPrefix, HostsPrefix string
-	// Budget bounds extra arrivals at a service.
-	Budget Budget
-	// BodyBytes bounds the bodies of all requests in flight together.
-	BodyBytes int64
-	// StopWithin bounds a planned stop.
-	StopWithin time.Duration
-	// Processor is the share of a core that this host has.
-	Processor float64
+	Tuning
 	// Capacity is what this host can carry, in thousandths of a core: its
 	// processor, or less where its link is the narrower.
 	Capacity uint32
@@ -98,6 +89,7 @@
 	live context.Context
 	end  context.CancelFunc
 
+	tuning   atomic.Pointer[Tuning]
 	inForce  atomic.Pointer[configuration]
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
 	stop     atomic.Pointer[drain.Stop]
@@ -122,6 +114,7 @@
 		ended:        make(chan struct{}),
 		serverStates: make(map[string]serverState),
 	}
+	g.tuning.Store(&options.Tuning)
 	g.live, g.end = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.end()
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -22,7 +22,7 @@
 			return nil
 		}
 		used, now := processorTime(), g.options.Now()
-		share := (used - usedBefore).Seconds() / now.Sub(at).Seconds() / g.options.Processor
+		share := (used - usedBefore).Seconds() / now.Sub(at).Seconds() / g.tuning.Load().Processor
 		usedBefore, at = used, now
 		g.members.SetLoad(uint32(1000 * max(share, 0)))
 	}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -113,11 +113,7 @@
 func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
 	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now}, counters, trusting{}, g.options.Now, g.homesConfig)
 	homes.SetHear(g.logServer)
-	budget := g.options.Budget.tune(hostsSharing)
-	homes.SetTune(func(config *home.Config) {
-		budget(config)
-		g.setHedgeAges(config.Classes)
-	})
+	homes.SetTune(g.tuneHome)
 	return homes
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -89,7 +89,7 @@
 // request on it is lost. A body is refused before it is read, whatever its caller
 // had still to send.
 func (g *Gateway) TakeBody(bytes int64) (release func(), refusal *Answer) {
-	if g.bodies.Add(bytes) > g.options.BodyBytes {
+	if g.bodies.Add(bytes) > g.tuning.Load().BodyBytes {
 		g.bodies.Add(-bytes)
 		return nil, refused(result.Overloaded, "too many bytes of requests in flight", notReadyAfter)
 	}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -105,11 +105,24 @@
 	s.refresh(config)
 }
 
+// Retune puts the limits that the Tune gives now into the homes.
+func (s *Server) Retune() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config != nil {
+		s.reconfigure(s.config)
+	}
+}
+
 func (s *Server) refresh(config *bundle.Config) {
 	if config == s.config || config == nil {
 		return
 	}
 	s.config = config
+	s.reconfigure(config)
+}
+
+func (s *Server) reconfigure(config *bundle.Config) {
 	for name, svc := range s.services {
 		spec, ok := config.Service(name)
 		if !ok {
