--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -24,8 +24,10 @@
 	// removing holds when a missing object is dropped.
 	removing map[string]time.Time
 	lost     bool
+	listed   bool // a whole list was taken in
 	// gone holds at which revision of the store objects were found gone, for
-	// peers; it is complete for those after goneSince.
+	// peers; it is complete for those after goneSince, at first that of the first
+	// whole list.
 	gone      map[string]uint64
 	goneSince uint64
 	// doubtUntil: removals before it are held back until then.
@@ -57,6 +59,7 @@
 // whether there is anything new for this host or for peers.
 func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision uint64) bool {
 	m.heard(now)
+	m.forgetBefore(revision)
 	changed := false
 	present := make(map[string]bool, len(listed))
 	for _, object := range listed {
@@ -71,6 +74,19 @@
 	return changed
 }
 
+// forgetBefore notes with the first whole list that what was removed before it
+// is not known.
+//
+// Failure: a server leaves while a host is restarted. A peer that missed the
+// removal asks the new life, hears of nothing removed, takes the list's revision
+// for its own, and sends requests to the server for good. The guard holds because
+// a peer from before the first list is given everything.
+func (m *Mirror) forgetBefore(revision uint64) {
+	if !m.listed {
+		m.listed, m.goneSince = true, revision
+	}
+}
+
 // Change takes in changed objects up to the revision and reports whether there
 // is anything new for this host or for peers.
 func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision uint64) bool {
--- a/discover/mirror_test.go
+++ b/discover/mirror_test.go
@@ -102,3 +102,21 @@
 	is.True(peer.Tick(heard.doubtUntil))
 	is.Equal(keys(peer), []string{"a"})
 }
+
+// A server leaves while a host is restarted. The new life lists the servers
+// without it and never knew it; a peer that missed the removal asks this host,
+// hears of nothing that was removed, takes the revision for known, and sends
+// requests to the server for good.
+func TestRestartedHostDoesNotHideOlderRemovals(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	behind, restarted := NewMirror(), NewMirror()
+	behind.Replace(now, []metastore.Object{object("a", 1), object("b", 2)}, 11)
+	restarted.Replace(now, []metastore.Object{object("a", 1)}, 16) // b was removed at 15
+	restarted.Change(now, []metastore.Object{object("c", 18)}, 18)
+	c := restarted.known(restarted.Objects(), 18).after(11)
+	is.True(c.whole)
+	behind.Replace(now, c.objects, c.revision)
+	is.Equal(keys(behind), []string{"a", "c"})
+	is.True(!restarted.known(restarted.Objects(), 18).after(16).whole) // from there on it knows all
+}
