--- a/home/refusing.go
+++ b/home/refusing.go
@@ -7,11 +7,12 @@
 
 const (
 	// refusalWeight is the weight of the newest attempt in the share that a server
-	// refuses: it follows a server that begins to refuse within some twenty.
-	refusalWeight = 0.05
+	// refuses: it follows a server that begins to refuse within some fifteen, also on a host that
+	// sends it three a second.
+	refusalWeight = 0.08
 	// refusalHalfLife is how fast the share is forgotten while nothing is sent: a
-	// server that is well again is tried within a second or two.
-	refusalHalfLife = time.Second
+	// server that is well again is tried within some seconds.
+	refusalHalfLife = 6 * time.Second
 	// mostRefusalShare keeps a server that refuses nearly all from being taken for
 	// one that never answers: its pauses see to that.
 	mostRefusalShare = 0.8
