--- a/entry/carriers.go
+++ b/entry/carriers.go
@@ -52,14 +52,14 @@
 	return append(chosen, rest[:more]...)
 }
 
-// Gates are the hosts, one of each availability zone, through which hosts of
+// Proxies are the hosts, one of each availability zone, through which hosts of
 // other zones reach the backend servers there: those that Carriers takes first.
-func Gates(view *member.View) map[string]member.Host {
-	gates := make(map[string]member.Host)
+func Proxies(view *member.View) map[string]member.Host {
+	proxies := make(map[string]member.Host)
 	for zone, hosts := range servingByZone(view) {
-		gates[zone] = hosts[0]
+		proxies[zone] = hosts[0]
 	}
-	return gates
+	return proxies
 }
 
 // servingByZone lists the hosts that serve by availability zone, steadiest first.
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -1,6 +1,7 @@
 // Package exchange carries legs between entry hosts: one long-lived drpc
 // stream for each pair of hosts that have work for each other, on which the
-// frames of many queries are batched.
+// frames of many queries are batched. A leg goes to the home of its service, or to
+// one backend server that the sender has chosen and the receiver is near to.
 package exchange
 
 import (
--- a/gateway/far.go
+++ b/gateway/far.go
@@ -47,11 +47,11 @@
 	log    *zap.Logger
 	parts  *prometheus.CounterVec // by way
 
-	gates atomic.Pointer[gates]
+	proxies atomic.Pointer[proxies]
 }
 
-// gates are the hosts to go through, by zone, of one view.
-type gates struct {
+// proxies are the hosts to go through, by zone, of one view.
+type proxies struct {
 	of     *member.View
 	byZone map[string]string // peers' addresses
 }
@@ -61,7 +61,7 @@
 	if server.Zone == r.zone {
 		return r.direct.Run(ctx, server, call)
 	}
-	if address, ok := r.gate(server, call); ok {
+	if address, ok := r.proxy(server, call); ok {
 		if end, made := r.through(ctx, address, server, call); made {
 			r.parts.WithLabelValues(wayPeer).Inc()
 			return end
@@ -86,27 +86,27 @@
 	return parts, registerer.Register(parts)
 }
 
-// gate is the host to go through; false: the call goes to the server directly.
-func (r *farRunner) gate(server backend.Server, call backend.Call) (address string, ok bool) {
+// proxy is the host to go through; false: the call goes to the server directly.
+func (r *farRunner) proxy(server backend.Server, call backend.Call) (address string, ok bool) {
 	if !call.Idempotent || call.Forward == nil || call.Forward.Merge == nil || len(call.Body) > mostFarBody {
 		return "", false
 	}
-	address, ok = r.currentGates()[server.Zone]
+	address, ok = r.currentProxies()[server.Zone]
 	return address, ok && !r.links.Doubts(address)
 }
 
-func (r *farRunner) currentGates() map[string]string {
+func (r *farRunner) currentProxies() map[string]string {
 	view := r.view()
-	if current := r.gates.Load(); current != nil && current.of == view {
+	if current := r.proxies.Load(); current != nil && current.of == view {
 		return current.byZone
 	}
-	next := &gates{of: view, byZone: make(map[string]string)}
-	for zone, host := range entry.Gates(view) {
+	next := &proxies{of: view, byZone: make(map[string]string)}
+	for zone, host := range entry.Proxies(view) {
 		if host.State == member.StateAlive {
 			next.byZone[zone] = host.PeerAddress
 		}
 	}
-	r.gates.Store(next)
+	r.proxies.Store(next)
 	return next.byZone
 }
 
--- a/gateway/merge.go
+++ b/gateway/merge.go
@@ -26,6 +26,9 @@
 func merge(ctx context.Context, r *route.Route, answer *scatter.Answer) *Merged {
 	parts := answer.Parts
 	for {
+		if len(parts) < max(scatter.LeastParts(r.LeastShare, answer.Total), 1) {
+			return tooFew(answer)
+		}
 		records := scatter.Greatest(bodiesOf(parts), recordSize, r.Greatest)
 		open := 0
 		for i := range parts {
@@ -38,14 +41,17 @@
 			return merged(answer, parts, records)
 		}
 		parts = append(fetchRest(ctx, parts[:open]), parts[open:]...)
-		if len(parts) == 0 || float64(len(parts)) < r.LeastShare*float64(answer.Total) {
-			answer.Parts, answer.Code = nil, result.CoverageTooLow
-			answer.Detail = "the rest of a part was not had"
-			return nil
-		}
 	}
 }
 
+// tooFew turns the answer into a failure: no part may be named, or less than the
+// route allows.
+func tooFew(answer *scatter.Answer) *Merged {
+	answer.Parts, answer.Code = nil, result.CoverageTooLow
+	answer.Detail = "too few whole parts were had"
+	return nil
+}
+
 func merged(answer *scatter.Answer, parts []scatter.Part, records []byte) *Merged {
 	if len(parts) < len(answer.Parts) {
 		answer.Parts, answer.Code = parts, result.Partial
--- a/gateway/merge_test.go
+++ b/gateway/merge_test.go
@@ -106,3 +106,25 @@
 	}
 	is.True(short < answers/100)
 }
+
+// A route allows answers with any share of its shards. One that has none of them
+// is no answer.
+func TestAnswerWithoutAPartIsAFailure(t *testing.T) {
+	is := is.New(t)
+	answer := &scatter.Answer{Code: result.Partial, Total: 4}
+	is.True(merge(t.Context(), &route.Route{Greatest: 5}, answer) == nil)
+	is.Equal(answer.Code, result.CoverageTooLow)
+}
+
+// A route wants 0.55 of twenty shards, which are eleven; as a product of floats it
+// is a little more.
+func TestLeastShareIsCountedInWholeShards(t *testing.T) {
+	is := is.New(t)
+	answer := &scatter.Answer{Code: result.Partial, Total: 20}
+	for range 11 {
+		answer.Parts = append(answer.Parts, scatter.Part{Reply: &forward.Reply{Signature: "s"}})
+	}
+	m := merge(t.Context(), &route.Route{Greatest: 5, LeastShare: 0.55}, answer)
+	is.True(m != nil)
+	is.Equal(m.Missing, 9)
+}
--- a/home/refusing.go
+++ b/home/refusing.go
@@ -7,8 +7,8 @@
 
 const (
 	// refusalWeight is the weight of the newest attempt in the share that a server
-	// refuses: it follows a server that begins to refuse within some fifteen, also on a host that
-	// sends it three a second.
+	// refuses: it follows a server that begins to refuse within some fifteen, which
+	// is a few seconds on a host that sends it three a second.
 	refusalWeight = 0.08
 	// refusalHalfLife is how fast the share is forgotten while nothing is sent: a
 	// server that is well again is tried within some seconds.
--- a/scatter/optional.go
+++ b/scatter/optional.go
@@ -12,8 +12,13 @@
 // spare is how many shards an answer may lack.
 func (p *Plan) spare() int {
 	total := len(p.Snapshot.Shards)
-	const rounding = 1e-9
-	return total - int(math.Ceil(p.LeastCoverage*float64(total)-rounding))
+	return total - LeastParts(p.LeastCoverage, total)
+}
+
+// LeastParts is how many of the shards an answer must have for the coverage, 0 to 1.
+func LeastParts(coverage float64, total int) int {
+	const rounding = 1e-9 // 0.55 of 20 shards are 11, and a little more as a float
+	return int(math.Ceil(coverage*float64(total) - rounding))
 }
 
 // strained is a shard whose service lately was above its capacity.
