--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 	end  context.CancelFunc
 
 	tuning   atomic.Pointer[Tuning]
+	sharing  atomic.Int64 // hosts that the slack of the budget is divided by
 	inForce  atomic.Pointer[configuration]
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
 	stop     atomic.Pointer[drain.Stop]
@@ -115,6 +116,7 @@
 		serverStates: make(map[string]serverState),
 	}
 	g.tuning.Store(&options.Tuning)
+	g.sharing.Store(leastSharing)
 	g.live, g.end = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.end()
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -24,6 +24,7 @@
 		used, now := processorTime(), g.options.Now()
 		share := (used - usedBefore).Seconds() / now.Sub(at).Seconds() / g.tuning.Load().Processor
 		usedBefore, at = used, now
+		g.shareBudget()
 		g.members.SetLoad(uint32(1000 * max(share, 0)))
 	}
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -20,10 +20,6 @@
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
 
-// hostsSharing is by how many hosts the slack of the budget is divided: those
-// that are advised, and those whose callers keep older advice.
-const hostsSharing = 4
-
 // built are the parts that the container makes.
 type built struct {
 	dig.In
--- a/gateway/tuning.go
+++ b/gateway/tuning.go
@@ -34,8 +34,26 @@
 		zap.Float64("processor", next.Processor), zap.Strings("seeds", next.Seeds))
 }
 
+// leastSharing is by how many hosts the slack of the budget is divided at least:
+// two or three that are advised, and those whose callers keep older advice.
+const leastSharing = 4
+
 // tuneHome puts the limits in force into a home's configuration.
 func (g *Gateway) tuneHome(config *home.Config) {
-	g.tuning.Load().Budget.tune(hostsSharing)(config)
+	g.tuning.Load().Budget.tune(int(g.sharing.Load()))(config)
 	g.setHedgeAges(config.Classes)
 }
+
+// shareBudget divides the budget's slack by the hosts that are advised now.
+//
+// Load: a service fails for seconds, and every host that carries traffic spends
+// all it may. Harm prevented: in a deployment of five zones or more the parts add
+// up to more than the operator allows. Limit: never fewer than leastSharing.
+func (g *Gateway) shareBudget() {
+	hosts := int64(max(leastSharing, len(g.Advise())))
+	if g.sharing.Swap(hosts) == hosts {
+		return
+	}
+	g.homes.Retune()
+	g.log.Info("budget of extra arrivals shared", zap.Int64("hosts", hosts))
+}
