--- a/exchange/named.go
+++ b/exchange/named.go
@@ -24,19 +24,22 @@
 		DeadlineInNs: int64(r.Deadline.Sub(now)),
 		MostRecords:  uint32(r.MostRecords),
 		Rest:         r.Rest,
-		Body:         r.Body,
+		// told only where the servers say it: it takes eight bytes a part
+		ServerIncarnation: r.ServerIncarnation,
+		Body:              r.Body,
 	}
 }
 
 func decodeNamed(m *exchangepb.LegRequest, head *forward.Request, now time.Time) leg.Request {
 	return leg.Request{
-		Server:      m.GetServer(),
-		Deadline:    now.Add(time.Duration(m.GetDeadlineInNs())),
-		Idempotent:  true,
-		MostRecords: int(m.GetMostRecords()),
-		Rest:        m.GetRest(),
-		Body:        m.GetBody(),
-		Forward:     head,
+		Server:            m.GetServer(),
+		Deadline:          now.Add(time.Duration(m.GetDeadlineInNs())),
+		Idempotent:        true,
+		MostRecords:       int(m.GetMostRecords()),
+		Rest:              m.GetRest(),
+		ServerIncarnation: m.GetServerIncarnation(),
+		Body:              m.GetBody(),
+		Forward:           head,
 	}
 }
 
--- a/gateway/far.go
+++ b/gateway/far.go
@@ -116,7 +116,7 @@
 	request := leg.Request{
 		Request: call.Request, Service: call.Service, Shard: call.Shard, Snapshot: call.Snapshot,
 		Deadline: call.Deadline, Idempotent: true, Body: call.Body, Forward: call.Forward,
-		Server: server.Name, MostRecords: call.Forward.Merge.MostPerPart(),
+		Server: server.Name, ServerIncarnation: server.Incarnation, MostRecords: call.Forward.Merge.MostPerPart(),
 	}
 	ended := r.ask(ctx, address, request)
 	switch {
--- a/gateway/far_serve.go
+++ b/gateway/far_serve.go
@@ -65,7 +65,8 @@
 //
 // Failure: the host that sends has not heard yet that a server leaves. It shows
 // as work at a server that should have got none for seconds. The guard holds
-// because both hosts must believe that the server is in service.
+// because both hosts must believe that the server is in service, and in the same
+// start of it: one of them may still have the address of the start before.
 func (s *farServer) find(request leg.Request) (backend.Server, *leg.Result) {
 	known := s.known.Load()
 	if known == nil || request.Forward == nil {
@@ -77,6 +78,10 @@
 		failed := leg.Failed(request, result.NoBackend, result.OutcomeUnsent, "unknown or leaving server "+request.Server)
 		return backend.Server{}, &failed
 	}
+	if request.ServerIncarnation != server.Incarnation {
+		failed := leg.Failed(request, result.NoBackend, result.OutcomeUnsent, "another start of server "+request.Server)
+		return backend.Server{}, &failed
+	}
 	return server, nil
 }
 
--- a/gateway/far_test.go
+++ b/gateway/far_test.go
@@ -51,6 +51,24 @@
 	is.Equal(len(runner.calls), 0)
 }
 
+// A server crashes and starts again under its name, at another address. The host
+// that sends a part has heard of it, the host near the server has not: it must not
+// pass the part on to where the server was, and the part may go there directly.
+func TestPeerPassesNothingOnToAnotherStartOfAServer(t *testing.T) {
+	is := is.New(t)
+	runner := echoRunner{calls: make(chan backend.Call, 1)}
+	s, err := newFarServer(runner)
+	is.NoErr(err)
+	s.setServers(map[string]backend.Server{"server": {Name: "server", Incarnation: 1}})
+	request := farRequest("server")
+	request.ServerIncarnation = 2
+	refused := askFar(s, request)
+	is.Equal(refused.Outcome, result.OutcomeUnsent)
+	is.Equal(len(runner.calls), 0)
+	s.setServers(map[string]backend.Server{"server": {Name: "server", Incarnation: 2}})
+	is.Equal(askFar(s, request).Outcome, result.OutcomeRan)
+}
+
 // The host near the servers sends three of ten records, and all of them when
 // they turn out to be needed, as long as it keeps them.
 func TestPeerKeepsWhatItCuts(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -33,6 +35,13 @@
 	Server(object metastore.Object) (ServerEntry, error)
 }
 
+// Backends runs calls at backend servers over connections that it keeps.
+type Backends interface {
+	backend.Runner
+	// Trim closes idle connections to a server until at most keep are open.
+	Trim(server backend.Server, keep int)
+}
+
 // Options are what a Gateway needs. All must be set.
 type Options struct {
 	Name   string // of this host
@@ -51,7 +60,7 @@
 	Capacity uint32
 
 	Store    metastore.Store
-	Backends backend.Runner
+	Backends Backends
 	Decode   Decoder
 	Logger   *zap.Logger
 	Registry *prometheus.Registry
@@ -93,6 +102,7 @@
 	sharing  atomic.Int64 // hosts that the slack of the budget is divided by
 	inForce  atomic.Pointer[configuration]
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
+	counting sync.Mutex                     // held while zones is worked out
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes of the bodies in flight
@@ -101,8 +111,13 @@
 	events    chan func()   // for the control loop
 	ended     chan struct{} // closed when the control loop has ended
 
+	// inService are the backend servers that don't leave, by name.
+	inService atomic.Pointer[map[string]backend.Server]
+
 	// owned by the servers' follower
 	serverStates map[string]serverState // by key
+	// newestStarts are the highest incarnations seen, by server.
+	newestStarts *lru.Cache[string, uint64]
 }
 
 // New makes a gateway; Run starts it.
@@ -115,6 +130,11 @@
 		ended:        make(chan struct{}),
 		serverStates: make(map[string]serverState),
 	}
+	newest, err := lru.New[string, uint64](rememberedStarts)
+	if err != nil {
+		return nil, errors.Wrap(err, "starts of backend servers")
+	}
+	g.newestStarts = newest
 	g.tuning.Store(&options.Tuning)
 	g.sharing.Store(leastSharing)
 	g.live, g.end = context.WithCancel(context.Background())
@@ -125,6 +145,10 @@
 	return g, nil
 }
 
+// rememberedStarts bounds the servers of which the newest start is remembered:
+// the 21,000 of the target size and those that left lately.
+const rememberedStarts = 32 << 10
+
 // eventQueue holds events that wait for the control loop.
 const eventQueue = 64
 
@@ -227,6 +251,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.countZones()
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
 		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -11,13 +11,16 @@
 
 // ServerEntry is what a backend server says of itself in the store.
 type ServerEntry struct {
-	// Name is the server's id: each start is a new one.
-	Name    string
-	Service string
-	Address string // IP and port
-	Zone    string // availability zone
-	Slots   int    // requests it serves at once; 0: not said
-	Leaving bool
+	// Name is the server's id. It may outlast a restart of the server.
+	Name string
+	// Incarnation tells the starts of a server apart: a later one's is higher.
+	// 0: the server does not say, and each start has a name of its own.
+	Incarnation uint64
+	Service     string
+	Address     string // IP and port
+	Zone        string // availability zone
+	Slots       int    // requests it serves at once; 0: not said
+	Leaving     bool
 	// Cold: the server has just started and is still slow.
 	Cold bool
 }
@@ -35,16 +38,13 @@
 func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
 	known := make(map[string][]homeserver.Known)
 	inService := make(map[string]backend.Server, len(objects))
-	zones := make(map[string]int)
 	for _, object := range objects {
 		state := g.decodeServer(object)
 		if !state.valid {
 			continue
 		}
 		entry := state.entry
-		server := backend.Server{
-			Name: entry.Name, Address: entry.Address, Service: entry.Service, Zone: entry.Zone, Incarnation: 1,
-		}
+		server := serverOf(entry)
 		known[entry.Service] = append(known[entry.Service], homeserver.Known{
 			Server:   server,
 			SameZone: entry.Zone == g.options.Zone,
@@ -53,18 +53,44 @@
 			Cold:     entry.Cold,
 		})
 		if !entry.Leaving {
-			zones[entry.Zone]++
 			inService[entry.Name] = server
 		}
 	}
 	g.dropServers(objects)
-	g.zones.Store(&zones)
+	g.inService.Store(&inService)
 	g.farServer.setServers(inService)
 	g.homes.SetServers(known)
+	g.countZones()
 	g.serversAt.Store(revision)
 	g.announce()
 }
 
+func serverOf(entry ServerEntry) backend.Server {
+	return backend.Server{
+		Name: entry.Name, Address: entry.Address, Service: entry.Service, Zone: entry.Zone, Incarnation: entry.Incarnation,
+	}
+}
+
+// countZones counts the backend servers of each availability zone. Only those of
+// services that the configuration names count: whatever else is written below the
+// servers' prefix must not decide which hosts carry the traffic.
+func (g *Gateway) countZones() {
+	g.counting.Lock()
+	defer g.counting.Unlock()
+	servers := g.inService.Load()
+	config := g.homesConfig()
+	if servers == nil || config == nil {
+		return
+	}
+	zones := make(map[string]int)
+	for _, server := range *servers {
+		if _, named := config.Service(server.Service); named {
+			zones[server.Zone]++
+		}
+	}
+	g.zones.Store(&zones)
+}
+
 // decodeServer decodes an entry if it has changed, and writes a line about it.
 func (g *Gateway) decodeServer(object metastore.Object) serverState {
 	before, seen := g.serverStates[object.Key]
@@ -73,18 +99,50 @@
 	}
 	entry, err := g.options.Decode.Server(object)
 	state := serverState{revision: object.Revision, entry: entry, valid: err == nil}
+	if err == nil && g.outlived(entry) {
+		before.revision = object.Revision
+		state = before
+	}
 	g.serverStates[object.Key] = state
 	switch {
 	case err != nil:
 		g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
+	case state.entry.Incarnation != entry.Incarnation || !state.valid:
+		g.log.Info("backend server's entry is of an earlier start and is left out", zap.String("server", entry.Name), zap.Uint64("incarnation", entry.Incarnation), zap.Uint64("revision", object.Revision))
 	case !seen || before.entry != entry:
+		g.dropConnections(before.entry, entry)
 		g.log.Info("backend server", zap.String("server", entry.Name), zap.String("service", entry.Service),
-			zap.String("address", entry.Address), zap.String("zone", entry.Zone),
+			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Uint64("incarnation", entry.Incarnation),
 			zap.Bool("leaving", entry.Leaving), zap.Bool("cold", entry.Cold), zap.Uint64("revision", object.Revision))
 	}
 	return state
 }
 
+// outlived reports whether a later start of the server is known.
+//
+// Failure: a server crashes with a write to the store on its way and starts again
+// under its id; the write is done seconds later. It shows as a server whose old
+// address, or whose draining before the crash, is believed again. The guard holds
+// because the newest start of each id is remembered, also while its entry is gone.
+func (g *Gateway) outlived(entry ServerEntry) bool {
+	if entry.Incarnation == 0 {
+		return false
+	}
+	if newest, known := g.newestStarts.Get(entry.Name); known && newest > entry.Incarnation {
+		return true
+	}
+	g.newestStarts.Add(entry.Name, entry.Incarnation)
+	return false
+}
+
+// dropConnections closes the idle connections to a server that was started
+// again or has moved: calls on them would end as unknown though none has run.
+func (g *Gateway) dropConnections(before, now ServerEntry) {
+	if before.Address != "" && (before.Incarnation != now.Incarnation || before.Address != now.Address) {
+		g.options.Backends.Trim(serverOf(before), 0)
+	}
+}
+
 // dropServers forgets the servers that are no longer among the objects.
 func (g *Gateway) dropServers(objects []metastore.Object) {
 	if len(g.serverStates) == len(objects) {
@@ -97,6 +155,7 @@
 	for key, state := range g.serverStates {
 		if !listed[key] {
 			delete(g.serverStates, key)
+			g.dropConnections(state.entry, ServerEntry{})
 			g.log.Info("backend server is gone", zap.String("server", state.entry.Name), zap.String("service", state.entry.Service))
 		}
 	}
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -38,6 +38,8 @@
 	// Server names the one backend server to run the leg at; empty: the home of
 	// Service chooses one.
 	Server string
+	// ServerIncarnation is the start of Server that the sender means; 0: not known.
+	ServerIncarnation uint64
 	// MostRecords of the answer of a named server are sent back, the greatest;
 	// 0: all.
 	MostRecords int
