--- a/bench/case.go
+++ b/bench/case.go
@@ -37,6 +37,12 @@
 	Deadline time.Duration
 	// ServiceTime of its legs; zero: the shape's.
 	ServiceTime ServiceTime
+	// Target is when an answer loses its worth; from then on a query ends as soon
+	// as it has the share Least of its legs. Zero: none.
+	Target time.Duration
+	Least  float64
+	// ComeBack: a refused caller sends its query once more, when it was told to.
+	ComeBack bool
 	// HostShare of its queries go to host 0, the rest to any host.
 	HostShare float64
 }
--- /dev/null
+++ b/bench/goodput.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+// Carriers is the shape of a deployment whose callers are sent to two hosts, each
+// of which is the home of every service for its own queries: 20 services of two
+// servers with two slots and a queue of twelve.
+func Carriers() Shape {
+	return Shape{
+		EntryHosts: 2, Services: 20, Servers: 2, Slots: 2, ServerQueue: 12, Zones: 2,
+		HopSameZone: 100 * time.Microsecond, HopOtherZone: 1400 * time.Microsecond,
+		ServiceTime: ServiceTime{Base: 9 * time.Millisecond, MeanExtra: 6 * time.Millisecond, Stragglers: 0.01, StragglerExtra: 60 * time.Millisecond},
+	}
+}
+
+const (
+	searchTarget = 120 * time.Millisecond
+	searchLeast  = 0.89
+	lookupTarget = 60 * time.Millisecond
+	lookupLeast  = 0.75
+)
+
+// searches is the demand of long searches, and of lookups of a third of their
+// length that are a third as many; refused callers come back once.
+func searches() []Traffic {
+	short := ServiceTime{Base: 3 * time.Millisecond, MeanExtra: 2 * time.Millisecond, Stragglers: 0.01, StragglerExtra: 20 * time.Millisecond}
+	return []Traffic{
+		{Caller: "members", Class: Standard, Share: 0.9, Deadline: searchDeadline, Target: searchTarget, Least: searchLeast, ComeBack: true},
+		{Caller: "relatives", Class: Interactive, Share: 0.1, Deadline: time.Second, Target: lookupTarget, Least: lookupLeast, ServiceTime: short, ComeBack: true},
+	}
+}
+
+// GoodputCase is a burst from second 4 to 9 over a fair load of a third of the
+// capacity; times is how much the burst multiplies it.
+func GoodputCase(times float64) Case {
+	return Case{
+		Name: "goodput", Shape: Carriers(), Load: 0.33, Traffic: searches(), Length: 13 * time.Second,
+		Surge: func(at time.Duration) float64 {
+			if at < burstFrom || at >= burstUntil {
+				return 1
+			}
+			return times
+		},
+	}
+}
+
+// The seconds of the burst.
+const (
+	burstFrom  = 4 * time.Second
+	burstUntil = 9 * time.Second
+)
+
+// LocalHomes runs every leg at the host that its caller has chosen, with the
+// limits of a deployment whose hosts share the servers' slots.
+func LocalHomes(name string) PolicySpec {
+	spec := HomePolicy(name, func(c *home.Config) {
+		c.ShareSlots, c.ChargeRefusals = true, true
+	})
+	plain := spec.New
+	spec.New = func(s *Sim) Policy {
+		p := plain(s).(*homes)
+		p.local = true
+		return p
+	}
+	return spec
+}
+
+// Forecasted lets a query in by the forecasts of its services.
+func Forecasted(spec PolicySpec) PolicySpec {
+	spec.Admission = func(s *Sim) Admission { return &forecasted{sim: s, homes: s.policy.(*homes)} }
+	return spec
+}
+
+type forecasted struct {
+	sim   *Sim
+	homes *homes
+}
+
+// Arrive implements Admission.
+func (a *forecasted) Arrive(q *Query) {
+	plan := scatter.Plan{
+		Request: q.ID, Started: a.sim.Now(), Deadline: q.DeadlineTime(), Target: q.due(), LeastCoverage: q.Traffic.Least,
+	}
+	forecasts := make([]leg.Forecast, len(q.Legs))
+	for i, l := range q.Legs {
+		forecasts[i] = a.homes.node(q.Host, l.Service).state.Forecast(a.sim.Now(), q.Traffic.Class)
+	}
+	decided := scatter.Decide(&plan, plan.Target.Sub(plan.Started), forecasts)
+	if decided.Refuse {
+		a.sim.Refuse(q, result.Overloaded, scatter.ComeBackAfter(&plan, a.sim.Now()))
+		return
+	}
+	for i, optional := range decided.Optional {
+		q.Legs[i].Optional = optional
+	}
+	a.sim.Release(q)
+}
+
+// LegEnded implements Admission.
+func (a *forecasted) LegEnded(*Leg) {}
+
+// QueryEnded implements Admission.
+func (a *forecasted) QueryEnded(*Query) {}
+
+// GoodputBetween is the part of the servers' capacity that went into answers in
+// time, of queries that arrived between the two seconds. Counted in work and not
+// in queries, it does not change with the share of short ones.
+func (r *Result) GoodputBetween(shape Shape, from, until time.Duration) float64 {
+	var work time.Duration
+	for second := int(from / time.Second); second < int(until/time.Second); second++ {
+		work += r.Window[second].InTimeWork
+	}
+	return work.Seconds() / (until - from).Seconds() / float64(shape.Servers*shape.Slots)
+}
--- /dev/null
+++ b/bench/goodput_test.go
@@ -0,0 +1,39 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Many users come at once, up to eight times the usual traffic and nearly three
+// times what the servers can do. Searches that no longer can be answered in time
+// took the slots of those that could: fewer were answered in time than at half of
+// the load, and most waited for their whole two seconds to hear that they failed.
+// What can be answered in time must stay what the servers can do.
+func TestGoodputStaysFlatAboveCapacity(t *testing.T) {
+	is := is.New(t)
+	spec := Forecasted(LocalHomes("forecasted"))
+	during := func(times float64, spec PolicySpec) (goodput, after float64) {
+		c := GoodputCase(times)
+		r := Run(c, spec, 1)
+		goodput = r.GoodputBetween(c.Shape, burstFrom, burstUntil)
+		after = r.GoodputBetween(c.Shape, burstUntil+time.Second, burstUntil+3*time.Second)
+		t.Logf("%s, %v times: %.3f of the capacity in time, %.3f after it, %d of %d refused", spec.Name, times, goodput, after, r.All.Refused, r.All.Arrived)
+		return goodput, after
+	}
+	best := 0.0
+	goodput := make(map[float64]float64)
+	for _, times := range []float64{1, 2, 3, 4, 8} {
+		var after float64
+		goodput[times], after = during(times, spec)
+		best = max(best, goodput[times])
+		is.True(after > 0.85*goodput[1]) // all is as before the burst
+	}
+	for times, reached := range goodput {
+		is.True(reached >= 0.9*min(best, times*goodput[1]))
+	}
+	unguarded, _ := during(4, LocalHomes("all let in"))
+	is.True(unguarded < 0.6*best) // the harm that admission prevents
+}
--- a/bench/homes.go
+++ b/bench/homes.go
@@ -54,6 +54,7 @@
 type homes struct {
 	sim    *Sim
 	change func(*home.Config)
+	local  bool // each host is the home of every service for its own queries
 	placed []place.Service
 	caches []place.Cache
 	nodes  map[nodeKey]*homeNode
@@ -105,6 +106,9 @@
 }
 
 func (p *homes) target(from int, service *Service, second bool) (int, bool) {
+	if p.local {
+		return from, true
+	}
 	first, next := p.caches[from].Homes(p.sim.Hosts[from].View, p.placed).Of(service.Name)
 	if second {
 		first = next
@@ -192,7 +196,8 @@
 	n.ids[leg] = id
 	n.do(n.state.Submit(n.now(), home.Leg{
 		ID: id, Request: leg.Query.ID, Class: leg.Query.Traffic.Class, Caller: leg.Query.Traffic.Caller,
-		Deadline: leg.Query.DeadlineTime(), Idempotent: true, Bytes: 200,
+		Deadline: leg.Query.DeadlineTime(), Due: leg.Query.due(), Idempotent: true, Bytes: 200,
+		Optional: leg.Optional,
 	}, n.acts[:0]))
 }
 
--- a/bench/result.go
+++ b/bench/result.go
@@ -37,8 +37,12 @@
 	Ended, Full            int
 	Legs, Answered         int
 	AfterDeadline          int
-	latency                *hdrhistogram.Histogram // microseconds
-	refusal                *hdrhistogram.Histogram // microseconds until a refusal
+	// InTime were answered by their target with their least share.
+	InTime int
+	// InTimeWork is the servers\' mean time for a leg of each of these.
+	InTimeWork time.Duration
+	latency    *hdrhistogram.Histogram // microseconds
+	refusal    *hdrhistogram.Histogram // microseconds until a refusal
 }
 
 const maxLatencyMicros = int64(60 * time.Second / time.Microsecond)
@@ -149,6 +153,10 @@
 		if q.answered == len(q.Legs) {
 			g.Full++
 		}
+		if q.Traffic.Target > 0 && latency <= q.Traffic.Target && q.covered() {
+			g.InTime++
+			g.InTimeWork += q.Traffic.ServiceTime.Mean()
+		}
 		if latency > q.Traffic.Deadline {
 			g.AfterDeadline++
 		}
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -21,9 +21,9 @@
 // Runner implements scatter.Homes.
 func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
 
-// Strain implements scatter.Homes. Of homes elsewhere nothing is known.
-func (h localHomes) Strain(service, class string) leg.Strain {
-	return h.local.Strain(service, class)
+// Forecast implements scatter.Homes. Of homes elsewhere nothing is known.
+func (h localHomes) Forecast(service, class string) leg.Forecast {
+	return h.local.Forecast(service, class)
 }
 
 // trusting is a homeserver.Watcher that suspects no request.
--- a/home/class.go
+++ b/home/class.go
@@ -31,8 +31,6 @@
 	long     bool
 	skipped  bool // in the present decision: no server takes its legs
 	pace     pace
-	late     float64 // share of legs that were put back lately, 0 to 1
-	lost     float64 // share that was not started before the deadline
 	lastSeen time.Time
 	times    meanTime
 	observed histogram
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -77,7 +77,6 @@
 	h.unqueue(l)
 	if !hedge {
 		c.pace.started(now, c.waiting.len())
-		c.noteStarted(l.timely())
 	}
 	h.nextAttempt++
 	a := &attempt{id: h.nextAttempt, leg: l, server: s, started: now, hedge: hedge, charged: c.prior(now)}
@@ -149,7 +148,7 @@
 			if !l.timely() || h.canMakeDue(c, l, now) {
 				break
 			}
-			h.putBack(c, l, now)
+			c.putBack(l)
 		}
 	}
 }
@@ -167,7 +166,6 @@
 		c := &h.classes[i]
 		for c.waiting.len() > 0 && !h.canMeet(c.waiting.legs[0], now) {
 			l := c.waiting.legs[0]
-			h.noteGivenUp(l, now)
 			acts = h.fail(l, l.failCode(result.DeadlineUnmeetable), h.retryAfter(now, 0), acts)
 		}
 		for c.hedges.len() > 0 && !h.canMeet(c.hedges.legs[0], now) {
--- /dev/null
+++ b/home/forecast.go
@@ -0,0 +1,77 @@
+package home
+
+import (
+	"time"
+
+	legs "github.com/goldcrestspan/goldcrestspan/leg"
+)
+
+// Forecast says how a leg of the class that came now would fare. An answer that
+// can't come in time is better known before the legs of its query are sent than
+// after they have used the slots of twenty services.
+func (h *Home) Forecast(now time.Time, position int) legs.Forecast {
+	c := &h.classes[position]
+	return legs.Forecast{Wait: h.waitFor(c, now), Run: h.runTime(c, now)}
+}
+
+// waitFor is how long a leg that came now would wait for a slot, behind those of
+// its class that are still counted on to be in time.
+func (h *Home) waitFor(c *class, now time.Time) time.Duration {
+	if !h.known || !h.anyInService() {
+		return 0 // such a leg fails at once, with its own reason
+	}
+	if at := h.nextAvailable(now); at.After(now) {
+		return at.Sub(now)
+	}
+	if c.waiting.len() == 0 {
+		if h.hasFreeSlot(now) {
+			return 0
+		}
+		return seconds(c.prior(now) / float64(max(1, h.totalSlots)))
+	}
+	return time.Duration(c.timelyWaiting()+1) * c.interval(now, h.totalSlots)
+}
+
+// interval is the time between two starts of waiting legs: the measured pace, or
+// the time since the last start where that is already longer.
+//
+// Load: every server of a service falls silent with its slots full. Harm
+// prevented: nothing starts, so no start tells that the pace is gone, and queries
+// are sent into a queue that does not move.
+func (c *class) interval(now time.Time, slots int) time.Duration {
+	usual := seconds(c.pace.seconds)
+	if usual == 0 {
+		usual = seconds(c.prior(now) / float64(max(1, slots)))
+	}
+	if !c.pace.backlog {
+		return usual
+	}
+	return max(usual, now.Sub(c.pace.last))
+}
+
+func (c *class) timelyWaiting() (n int) {
+	for _, l := range c.waiting.legs {
+		if l.timely() {
+			n++
+		}
+	}
+	return n
+}
+
+// runTime is what a leg takes once it has a slot: typically, or longer where
+// every server that may get it is slow.
+func (h *Home) runTime(c *class, now time.Time) time.Duration {
+	least := 0.0
+	prior := c.prior(now)
+	for _, s := range h.servers {
+		if !s.usable(now) {
+			continue
+		}
+		if expected := s.expected(c.index, prior, now); least == 0 || expected < least {
+			least = expected
+		}
+	}
+	return max(c.typicalTime, seconds(least))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/home/forecast_test.go
@@ -0,0 +1,54 @@
+package home
+
+import (
+	"testing"
+	"time"
+)
+
+// Searches come faster than a service answers them. Whoever asks must hear of the
+// queue before the next one joins it: the forecast grows with each that waits, and
+// is nothing as soon as a slot is free.
+func TestForecastFollowsTheQueue(t *testing.T) {
+	b := newBench(t, config(), 1)
+	b.withoutProbes()
+	b.practise(200)
+	b.is.Equal(b.home.Forecast(b.now, interactive).Wait, time.Duration(0))
+	typical := b.home.classes[interactive].typicalTime
+	b.is.True(b.home.Forecast(b.now, interactive).Run >= typical)
+	for range config().SlotsPerServer {
+		b.submit(interactive, time.Second, true)
+	}
+	before := b.home.Forecast(b.now, interactive).Wait
+	b.is.True(before > 0) // the slots are taken
+	for range 5 {
+		leg := b.nextLeg(interactive, time.Second)
+		leg.Due = b.now.Add(500 * time.Millisecond)
+		b.take(leg)
+		wait := b.home.Forecast(b.now, interactive).Wait
+		b.is.True(wait > before)
+		before = wait
+	}
+	for len(b.running) > 0 {
+		b.finish(b.running[0], ran())
+	}
+	b.is.Equal(b.home.Forecast(b.now, interactive).Wait, time.Duration(0))
+}
+
+// All servers of a service fall silent with their slots full: nothing starts any
+// more, so no start tells that the pace is gone. The forecast must grow with the
+// silence, or queries are sent into a queue that does not move.
+func TestForecastGrowsWhileNothingStarts(t *testing.T) {
+	b := newBench(t, config(), 1)
+	b.withoutProbes()
+	b.practise(200)
+	for range 6 {
+		leg := b.nextLeg(interactive, 10*time.Second)
+		leg.Due = b.now.Add(8 * time.Second)
+		b.take(leg)
+	}
+	b.finish(b.running[0], ran()) // a start that leaves others waiting
+	b.finish(b.running[0], ran())
+	before := b.home.Forecast(b.now, interactive).Wait
+	b.now = b.now.Add(400 * time.Millisecond)
+	b.is.True(b.home.Forecast(b.now, interactive).Wait > before+400*time.Millisecond)
+}
--- a/home/overload.go
+++ b/home/overload.go
@@ -1,22 +1,10 @@
 package home
 
-import (
-	"time"
+import "time"
 
-	legs "github.com/goldcrestspan/goldcrestspan/leg"
-)
-
-const (
-	// strainedFor is how long a service counts as strained after a leg was put
-	// back for lack of capacity.
-	strainedFor = time.Second
-	// paceWeight is the weight of the newest interval between two starts: the
-	// pace follows a server that turns slow within some ten starts.
-	paceWeight = 0.1
-	// timelyWeight is the weight of the newest leg in the share that is answered
-	// in time: it follows a burst within some twenty legs.
-	timelyWeight = 0.05
-)
+// paceWeight is the weight of the newest interval between two starts: the pace
+// follows a server that turns slow within some ten starts.
+const paceWeight = 0.1
 
 // pace measures how fast the waiting legs of a class start, whatever the
 // reason: the servers' speed, other classes, other hosts' work.
@@ -53,7 +41,7 @@
 	for i := range h.classes {
 		c := &h.classes[i]
 		for n := c.firstOverdue(now); n > 0; n = c.firstOverdue(now) {
-			h.putBack(c, c.lowest(n), now)
+			c.putBack(c.lowest(n))
 		}
 	}
 }
@@ -95,46 +83,11 @@
 }
 
 // putBack makes a waiting leg stand behind those that can make their due time.
-func (h *Home) putBack(c *class, l *leg, now time.Time) {
-	h.strainedAt = now
+func (c *class) putBack(l *leg) {
 	c.waiting.remove(l)
 	l.order = l.Deadline
 	c.waiting.insert(l)
-	if !l.Optional {
-		c.late += timelyWeight * (1 - c.late)
-	}
-}
-
-// noteStarted notes that a leg starts, and whether it can make its due time.
-func (c *class) noteStarted(timely bool) {
-	c.lost -= timelyWeight * c.lost
-	if timely {
-		c.late -= timelyWeight * c.late
-	}
 }
 
 // timely reports whether the leg is still counted on to make its due time.
 func (l *leg) timely() bool { return l.order.Before(l.Deadline) }
-
-// lostWithin: a leg that is given up unstarted so close to its deadline was not
-// given up because its answer was no longer needed. Queries end up to 100 ms
-// before their deadlines.
-const lostWithin = 150 * time.Millisecond
-
-// noteGivenUp notes that a leg is given up before it has ended.
-func (h *Home) noteGivenUp(l *leg, now time.Time) {
-	if l.started == 0 && l.Deadline.Sub(now) < lostWithin {
-		c := &h.classes[l.Class]
-		c.lost += timelyWeight * (1 - c.lost)
-		h.strainedAt = now
-	}
-}
-
-// Strain says how far the service lately was above its capacity for the class.
-func (h *Home) Strain(now time.Time, position int) legs.Strain {
-	if h.strainedAt.IsZero() || now.Sub(h.strainedAt) >= strainedFor {
-		return legs.Strain{}
-	}
-	c := &h.classes[position]
-	return legs.Strain{Late: c.late, Lost: c.lost}
-}
--- a/home/state.go
+++ b/home/state.go
@@ -29,9 +29,8 @@
 	bytes       int       // of waiting bodies
 	lastGood    time.Time // a server last gave an answer, or the first was known
 
-	changes    []ServerChange // not yet taken
-	decidedAt  time.Time      // of the last decision
-	strainedAt time.Time      // a leg was last put back for lack of capacity
+	changes   []ServerChange // not yet taken
+	decidedAt time.Time      // of the last decision
 
 	// worked out by survey
 	totalSlots, usableCount int
@@ -163,7 +162,6 @@
 	if !ok {
 		return acts
 	}
-	h.noteGivenUp(l, now)
 	h.remove(l)
 	return h.dispatch(now, h.cancelAttempts(l, acts))
 }
--- a/homes.go
+++ b/homes.go
@@ -45,7 +45,7 @@
 	return h.remote.To(peer.PeerAddress), true
 }
 
-// Strain implements scatter.Homes. Of homes elsewhere nothing is known.
-func (h *homes) Strain(service, class string) leg.Strain {
-	return h.local.Strain(service, class)
+// Forecast implements scatter.Homes. Of homes elsewhere nothing is known.
+func (h *homes) Forecast(service, class string) leg.Forecast {
+	return h.local.Forecast(service, class)
 }
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -236,20 +236,20 @@
 	return limits
 }
 
-// Strain says how far a service lately was above its capacity for a class;
-// nothing is known where this host is not its home.
-func (s *Server) Strain(service, class string) leg.Strain {
+// Forecast says how a leg of the class would fare at the service; nothing is
+// known where this host is not its home.
+func (s *Server) Forecast(service, class string) leg.Forecast {
 	s.mu.RLock()
 	svc, config := s.services[service], s.config
 	s.mu.RUnlock()
 	if svc == nil || config == nil {
-		return leg.Strain{}
+		return leg.Forecast{}
 	}
 	_, position, ok := config.Class(class)
 	if !ok {
-		return leg.Strain{}
+		return leg.Forecast{}
 	}
-	return svc.strain(position)
+	return svc.forecast(position)
 }
 
 // Open counts the legs that are under way at this host's homes.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -274,10 +274,10 @@
 	})
 }
 
-func (s *service) strain(class int) leg.Strain {
+func (s *service) forecast(class int) leg.Forecast {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.home.Strain(s.server.now(), class)
+	return s.home.Forecast(s.server.now(), class)
 }
 
 func (s *service) open() int {
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -76,10 +76,10 @@
 	Cut bool
 }
 
-// Strain says how far a service lately was above its capacity for a class.
-type Strain struct {
-	Late float64 // part of the legs, 0 to 1, that it had no capacity for in time
-	Lost float64 // part that it did not even start before their deadlines
+// Forecast says how a leg that is sent now would fare at its service.
+type Forecast struct {
+	Wait time.Duration // until a slot is free for it
+	Run  time.Duration // from then on, typically
 }
 
 // UnknownWait stands for a wait that is not known.
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -19,9 +19,8 @@
 	Of(service string) (first, second ident.HostID)
 	// Runner returns the way to a host; false when it isn't known any more.
 	Runner(host ident.HostID) (leg.Runner, bool)
-	// Strain says how far the service is known to have been above its capacity
-	// for the class lately.
-	Strain(service, class string) leg.Strain
+	// Forecast says how a leg of the class sent now would fare at the service.
+	Forecast(service, class string) leg.Forecast
 }
 
 // Counter counts what became of the legs' results; the observe slice gives one.
@@ -67,7 +66,7 @@
 	results chan arrival
 	cancels []func()
 	sentTo  []ident.HostID
-	// optional shards are those that the query can do without, see optional.go.
+	// optional shards are those that the query does without, see admission.go.
 	optional []bool
 	moved    []bool // legs that went to the second home
 	maybe    []bool // of these, legs that may have run at the first
@@ -105,10 +104,10 @@
 	r.query = NewQuery(r.work.Plan)
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
-	if r.hopeless(r.chooseOptional(r.strained())) {
-		r.refuse()
-	} else {
+	if r.admit() {
 		r.sendAll()
+	} else {
+		r.refuse()
 	}
 	for r.query.Answer() == nil {
 		select {
