--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes of the bodies in flight
+	callers  callerTimes
 	// serversAt is the store's revision of the newest change of the servers.
 	serversAt atomic.Uint64
 	events    chan func()   // for the control loop
@@ -251,6 +252,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.callers.forget(next.targets)
 	g.countZones()
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,6 +32,8 @@
 	Arrived time.Time
 	// Budget is how long the caller waits; 0: as long as the route allows.
 	Budget time.Duration
+	// Connection is the one that the request came on; nil: nothing is known of it.
+	Connection *Connection
 	// Path is the path without the query.
 	Path    string
 	Forward *forward.Request
@@ -138,7 +140,7 @@
 		Idempotent:    r.Idempotent,
 	}
 	if r.Target > 0 {
-		plan.Target = q.Arrived.Add(r.Target)
+		g.setTarget(&plan, r, q)
 	}
 	if r.AsksAll() {
 		plan.Snapshot = c.shards[r]
@@ -156,6 +158,22 @@
 	}
 }
 
+// setTarget sets when the caller's target passes, by the caller's clock. It began
+// to count before the request was sent: a new connection had to be opened, which
+// takes a round trip, and so will the answer's way. Of one that came back before
+// only its way is known.
+func (g *Gateway) setTarget(plan *scatter.Plan, r *route.Route, q Query) {
+	plan.Target = q.Arrived.Add(r.Target)
+	used := g.callers.used(q.Arrived, className(r), q.Budget)
+	if used <= min(mostOpening, r.Target/2) {
+		q.Connection.learn(used)
+		plan.Target = plan.Target.Add(-used)
+	} else {
+		plan.Again = true
+	}
+	plan.Way = q.Connection.way()
+}
+
 // longestWait is for a request that states no time on a route without one.
 const longestWait = 30 * time.Second
 
@@ -219,7 +237,10 @@
 		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
 		zap.Duration("budget", q.Budget), zap.Duration("took", took),
 	}
-	if len(a.Missing) > 0 {
+	if a.Detail != "" {
+		fields = append(fields, zap.String("detail", a.Detail), zap.Duration("retry_after", a.RetryAfter))
+	}
+	if len(a.Missing) > 0 && a.Code != result.Overloaded {
 		fields = append(fields, zap.Array("missing", missingList(a.Missing)))
 	}
 	g.log.Info("request answered", fields...)
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/leg"
@@ -83,7 +85,30 @@
 	}
 	decided := Decide(&r.work.Plan, r.due().Sub(r.started), forecasts)
 	r.optional = decided.Optional
-	return !decided.Refuse
+	if !decided.Refuse {
+		return true
+	}
+	r.refuse(r.describe(decided, forecasts))
+	return false
+}
+
+// mostDescribed bounds the shards that a refusal names.
+const mostDescribed = 8
+
+// describe names the shards that decided, for whoever asks why.
+func (r *run) describe(decided Admission, forecasts []leg.Forecast) string {
+	var text strings.Builder
+	late := 0
+	for i, optional := range decided.Optional {
+		if !optional {
+			continue
+		}
+		if late < mostDescribed {
+			fmt.Fprintf(&text, " %s:%d+%d", r.work.Snapshot.Shards[i].Service, forecasts[i].Wait.Milliseconds(), forecasts[i].Run.Milliseconds())
+		}
+		late++
+	}
+	return fmt.Sprintf("%d shards would be late, wait+run in ms:%s", late, text.String())
 }
 
 // comeBackLeast and comeBackMost bound when a refused caller is asked back, as
@@ -103,6 +128,6 @@
 }
 
 // refuse ends the query before any leg is sent.
-func (r *run) refuse() {
-	r.query.Refuse(result.Overloaded, "services are above their capacity", ComeBackAfter(&r.work.Plan, r.started))
+func (r *run) refuse(why string) {
+	r.query.Refuse(result.Overloaded, why, ComeBackAfter(&r.work.Plan, r.started))
 }
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -106,8 +106,6 @@
 	defer timer.Stop()
 	if r.admit() {
 		r.sendAll()
-	} else {
-		r.refuse()
 	}
 	for r.query.Answer() == nil {
 		select {
@@ -223,7 +221,7 @@
 	if r.work.Target.IsZero() {
 		return time.Time{}
 	}
-	return TargetCutOff(r.work.Target, r.work.Started)
+	return TargetCutOff(r.work.Plan)
 }
 
 func (r *run) take(a arrival) {
--- a/scatter/cutoff.go
+++ b/scatter/cutoff.go
@@ -26,23 +26,32 @@
 }
 
 const (
-	// targetShare and targetFixed are the part of the time to the target that
-	// is kept for the ways from and to the caller, which its clock counts: two
-	// of the users' longest ways (3 ms), and a part for writing and a late timer.
-	targetShare = 0.05
-	targetFixed = 10 * time.Millisecond
-	// mostTargetReserve bounds the reserve of long targets.
-	mostTargetReserve = 18 * time.Millisecond
+	// usualWay stands in for a caller's round trip that is not known: the users'
+	// are 2 to 8 ms.
+	usualWay = 5 * time.Millisecond
+	// writeReserve and writeShare are kept for writing the answer and a timer that
+	// fires late on a busy host: a fixed time, and a part of the time to the target.
+	writeReserve = 3 * time.Millisecond
+	writeShare   = 0.03
+	// mostTargetShare bounds what is kept of the time to the target in all.
+	mostTargetShare = 0.3
 )
 
 // TargetCutOff is when a query that has the least coverage answers, so that
 // the answer is with the caller at the target.
 //
 // Load: one straggler among 20 to 92 shards. Harm prevented: the whole answer
-// comes late and is worth a tenth, for the sake of a twentieth of it.
-func TargetCutOff(target, started time.Time) time.Time {
-	reserve := targetFixed + time.Duration(targetShare*float64(target.Sub(started)))
-	return target.Add(-min(reserve, mostTargetReserve))
+// comes late and is worth a tenth, for the sake of a twentieth of it. Limits: the
+// request's way to this host and the answer's way back are on the caller's clock,
+// and as much as this host may take to write the answer.
+func TargetCutOff(plan Plan) time.Time {
+	way := plan.Way
+	if way == 0 {
+		way = usualWay
+	}
+	whole := float64(plan.Target.Sub(plan.Started))
+	reserve := way + writeReserve + time.Duration(writeShare*whole)
+	return plan.Target.Add(-min(reserve, time.Duration(mostTargetShare*whole)))
 }
 
 // CutOff is when a query answers with what it has, so that the answer is with
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -41,6 +41,10 @@
 	Deadline time.Time
 	// Target is when the answer loses most of its worth; zero: at the deadline.
 	Target time.Time
+	// Way is the round trip between the caller and this host; 0: not known.
+	Way time.Duration
+	// Again: the caller has been refused or failed before, and waits since then.
+	Again bool
 	// LeastCoverage, 0 to 1, below which there is no answer.
 	LeastCoverage float64
 	Prefer        bundle.Prefer
@@ -206,7 +210,7 @@
 		q.Expire()
 		return
 	}
-	q.late = !q.plan.Target.IsZero() && !now.Before(TargetCutOff(q.plan.Target, q.plan.Started))
+	q.late = !q.plan.Target.IsZero() && !now.Before(TargetCutOff(q.plan))
 	if q.late && q.covers(q.have) {
 		q.Expire()
 	}
@@ -218,7 +222,7 @@
 	if q.late || q.plan.Target.IsZero() {
 		return final
 	}
-	if target := TargetCutOff(q.plan.Target, q.plan.Started); target.Before(final) {
+	if target := TargetCutOff(q.plan); target.Before(final) {
 		return target
 	}
 	return final
--- a/scatter/target_test.go
+++ b/scatter/target_test.go
@@ -81,3 +81,19 @@
 	is.Equal(q.Answer().Code, result.Overloaded)
 	is.Equal(q.Answer().RetryAfter, time.Second)
 }
+
+// A caller is two round trips away: one opened its connection, and one is the way
+// of its request and the answer. What the first took is off its target already;
+// the answer must leave early enough for the second, and not much earlier.
+func TestAnswerLeavesInTimeForItsWay(t *testing.T) {
+	is := is.New(t)
+	near := Plan{Started: began, Target: began.Add(60 * time.Millisecond), Way: 2 * time.Millisecond}
+	far := Plan{Started: began, Target: began.Add(52 * time.Millisecond), Way: 8 * time.Millisecond}
+	is.True(!TargetCutOff(near).After(near.Target.Add(-2 * time.Millisecond)))
+	is.True(TargetCutOff(near).After(near.Target.Add(-9 * time.Millisecond)))
+	is.True(!TargetCutOff(far).After(far.Target.Add(-8 * time.Millisecond)))
+	unknown := Plan{Started: began, Target: began.Add(60 * time.Millisecond)}
+	is.True(TargetCutOff(unknown).Before(TargetCutOff(near)))
+	short := Plan{Started: began, Target: began.Add(20 * time.Millisecond), Way: 40 * time.Millisecond}
+	is.True(TargetCutOff(short).After(began.Add(10 * time.Millisecond))) // something is left for the work
+}
