--- a/bench/goodput.go
+++ b/bench/goodput.go
@@ -57,6 +57,34 @@
 	burstUntil = 9 * time.Second
 )
 
+// ImpairedCase is a load of 0.6 of the capacity while a server of each of the
+// first services is several times slower from second 4 to 9: what the others of
+// these services can do is less than is asked for.
+func ImpairedCase(services int) Case {
+	slowed := func(factor float64) func(*Sim) {
+		return func(s *Sim) {
+			for _, service := range s.Services[:services] {
+				service.Servers[0].Slow = factor
+			}
+		}
+	}
+	return Case{
+		Name: "impaired", Shape: Carriers(), Load: 0.6, Traffic: searches(), Length: 13 * time.Second,
+		Changes: []Change{{At: burstFrom, Do: slowed(7)}, {At: burstUntil, Do: slowed(1)}},
+	}
+}
+
+// CreditBetween is the mean over the queries that arrived between the two seconds
+// of the square of the share of shards that was there in time.
+func (r *Result) CreditBetween(from, until time.Duration) float64 {
+	credit, arrived := 0.0, 0
+	for second := int(from / time.Second); second < int(until/time.Second); second++ {
+		credit += r.Window[second].Credit
+		arrived += r.Window[second].Arrived
+	}
+	return credit / float64(max(1, arrived))
+}
+
 // LocalHomes runs every leg at the host that its caller has chosen, with the
 // limits of a deployment whose hosts share the servers' slots.
 func LocalHomes(name string) PolicySpec {
--- a/bench/goodput_test.go
+++ b/bench/goodput_test.go
@@ -37,3 +37,16 @@
 	unguarded, _ := during(4, LocalHomes("all let in"))
 	is.True(unguarded < 0.6*best) // the harm that admission prevents
 }
+
+// One server of each of a few services turns slow, and the other can't do it all.
+// A search can do without two of its twenty shards: the legs that can't be in time
+// stand behind those that can, or each service answers all of them a little late.
+func TestSearchesDoWithoutImpairedServices(t *testing.T) {
+	is := is.New(t)
+	for _, services := range []int{2, 4} {
+		r := Run(ImpairedCase(services), Forecasted(LocalHomes("forecasted")), 1)
+		credit := r.CreditBetween(burstFrom, burstUntil)
+		t.Logf("%d impaired services: credit %.3f", services, credit)
+		is.True(credit > 0.85)
+	}
+}
--- a/bench/query.go
+++ b/bench/query.go
@@ -111,6 +111,7 @@
 		recorded: s.now >= s.Case.Warmup, again: again,
 	}
 	binary.BigEndian.PutUint64(q.ID[:8], mixNumber(s.queries))
+	binary.BigEndian.PutUint64(q.ID[8:], mixNumber(mixNumber(s.queries)+1))
 	for _, service := range s.Services {
 		q.Legs = append(q.Legs, &Leg{Query: q, Service: service})
 	}
--- a/bench/result.go
+++ b/bench/result.go
@@ -41,8 +41,10 @@
 	InTime int
 	// InTimeWork is the servers\' mean time for a leg of each of these.
 	InTimeWork time.Duration
-	latency    *hdrhistogram.Histogram // microseconds
-	refusal    *hdrhistogram.Histogram // microseconds until a refusal
+	// Credit is the sum over these of the square of their share of shards.
+	Credit  float64
+	latency *hdrhistogram.Histogram // microseconds
+	refusal *hdrhistogram.Histogram // microseconds until a refusal
 }
 
 const maxLatencyMicros = int64(60 * time.Second / time.Microsecond)
@@ -155,6 +157,8 @@
 		}
 		if q.Traffic.Target > 0 && latency <= q.Traffic.Target && q.covered() {
 			g.InTime++
+			share := ratio(q.answered, len(q.Legs))
+			g.Credit += share * share
 			g.InTimeWork += q.Traffic.ServiceTime.Mean()
 		}
 		if latency > q.Traffic.Deadline {
--- a/home/due_test.go
+++ b/home/due_test.go
@@ -108,6 +108,23 @@
 	b.is.Equal(b.home.Forecast(b.now, interactive).Wait, time.Duration(0))
 }
 
+// A service is above its capacity, and some searches can do without it. Their
+// legs must not take a slot that a leg which is needed waits for.
+func TestOptionalLegsStandLast(t *testing.T) {
+	b := newBench(t, config(), 1)
+	b.withoutProbes()
+	for range config().SlotsPerServer {
+		b.submit(interactive, time.Second, true)
+	}
+	optional, needed := b.nextLeg(interactive, time.Second), b.nextLeg(interactive, time.Second)
+	optional.Due, optional.Optional = b.now.Add(200*time.Millisecond), true
+	needed.Due = b.now.Add(300 * time.Millisecond)
+	b.take(optional)
+	id := b.take(needed)
+	started := kinds(b.finish(b.running[0], ran()), ActionStart)
+	b.is.Equal(started[0].Leg, id)
+}
+
 // An operator's routes have a hundred different targets, so a service has a
 // hundred classes. A leg of the last one finds no server, though one has a free
 // slot: it stands still. The host used its whole processor on that decision for
--- a/home/state.go
+++ b/home/state.go
@@ -108,7 +108,7 @@
 // Submit takes a leg in; it starts, waits or fails at once.
 func (h *Home) Submit(now time.Time, in Leg, acts []Action) []Action {
 	l := &leg{Leg: in, worst: result.OutcomeUnsent, order: in.Deadline}
-	if in.Due.After(now) {
+	if in.Due.After(now) && !in.Optional {
 		l.order = in.Due
 	}
 	c := &h.classes[in.Class]
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -48,18 +48,18 @@
 func Decide(plan *Plan, left time.Duration, forecasts []leg.Forecast) Admission {
 	spare := len(forecasts) - LeastParts(plan.LeastCoverage, len(forecasts))
 	var decided Admission
-	queues := 0
+	late := 0
 	for i, f := range forecasts {
 		if f.Wait > 0 && f.Wait > time.Duration(waitShare*float64(left-f.Run)) {
-			queues++
 			decided.leaveOut(i, len(forecasts))
+			late++
 		}
 	}
-	decided.Refuse = queues > spare
+	decided.Refuse = late > spare
 	for i, f := range forecasts {
-		if queues < spare && f.Run > left {
-			queues++
+		if late < spare && f.Run > left {
 			decided.leaveOut(i, len(forecasts))
+			late++
 		}
 	}
 	return decided
