--- a/discover/follower.go
+++ b/discover/follower.go
@@ -151,7 +151,12 @@
 
 const (
 	// peersWait is how long a host that starts waits for a peer to let it in.
-	peersWait = 250 * time.Millisecond
+	//
+	// Load: all hosts lost power, and the seeds come back last: who asks them hears
+	// nothing, not even a refusal. Harm prevented: callers are turned away while the
+	// store could tell all. Limit: a host that starts into a running fleet and is
+	// let in later costs the store two calls, some thousand starts a day.
+	peersWait = 50 * time.Millisecond
 	// joinedWait is how long it waits on for a peer's word after that: one that
 	// joins a running fleet is told with the first message. A fleet that starts as
 	// a whole asks the store at once: a host whose seeds are up serves 0.15 s after
