--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -168,8 +168,6 @@
 	if used <= min(mostOpening, r.Target/2) {
 		q.Connection.learn(used)
 		plan.Target = plan.Target.Add(-used)
-	} else {
-		plan.Again = true
 	}
 	plan.Way = q.Connection.way()
 }
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -43,8 +43,6 @@
 	Target time.Time
 	// Way is the round trip between the caller and this host; 0: not known.
 	Way time.Duration
-	// Again: the caller has been refused or failed before, and waits since then.
-	Again bool
 	// LeastCoverage, 0 to 1, below which there is no answer.
 	LeastCoverage float64
 	Prefer        bundle.Prefer
