--- a/leaving/leaving.go
+++ b/draining/draining.go
@@ -1,11 +1,11 @@
-// Package leaving owns which backend servers get no new work because they are
+// Package draining owns which backend servers get no new work because they are
 // leaving. It is pure: time and what was heard are passed in.
 //
 // Three sources tell, whichever is first: the server's own drain signal on its
 // replies, its refusals as draining, and the platform's host list. What one
 // entry host learns the others hear as news. A life of a server that left never
 // gets new work again; only another life brings the server back.
-package leaving
+package draining
 
 import (
 	"time"
--- a/leaving/leaving_test.go
+++ b/draining/draining_test.go
@@ -1,4 +1,4 @@
-package leaving
+package draining
 
 import (
 	"testing"
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -107,8 +107,8 @@
 }
 
 func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now}, counters, trusting{}, g.options.Now, g.homesConfig)
-	homes.SetHear(g.logServer)
+	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now}, counters, noWatcher{}, g.options.Now, g.homesConfig)
+	homes.SetObserver(g.logServer)
 	homes.SetTune(g.tuneHome)
 	return homes
 }
--- a/home/changes.go
+++ b/home/changes.go
@@ -7,10 +7,10 @@
 
 // The states of a server. Well is the first one.
 const (
-	ServerWell ServerState = iota
-	// ServerStandsStill: what runs there is older than requests usually take,
+	ServerHealthy ServerState = iota
+	// ServerStalled: what runs there is older than requests usually take,
 	// and nothing was answered since; other servers are preferred.
-	ServerStandsStill
+	ServerStalled
 	// ServerRefuses: it refused several times in a row and is asked ever less.
 	ServerRefuses
 	// ServerEjected: it failed several times in a row and gets nothing for a while.
@@ -21,7 +21,7 @@
 
 // String names the state as logs do.
 func (s ServerState) String() string {
-	return [...]string{"well", "stands_still", "refuses", "ejected", "draining"}[s]
+	return [...]string{"healthy", "stalled", "refuses", "ejected", "draining"}[s]
 }
 
 // ServerChange is a change of what the home believes, with what decided it.
@@ -59,9 +59,9 @@
 	case s.refusals >= refusalsInARow:
 		return ServerRefuses
 	case h.stalled(s, now):
-		return ServerStandsStill
+		return ServerStalled
 	default:
-		return ServerWell
+		return ServerHealthy
 	}
 }
 
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -148,7 +148,7 @@
 			if !l.timely() || h.canMakeDue(c, l, now) {
 				break
 			}
-			c.putBack(l)
+			c.requeueLate(l)
 		}
 	}
 }
--- a/home/home.go
+++ b/home/home.go
@@ -128,8 +128,8 @@
 	// queue of seven, in the order of arrival, uses up a target of 200 ms. Each
 	// host keeps one, so that none is starved by the others.
 	ShareSlots bool
-	// AvoidStalled sends nothing to a server that seems to stand still while
-	// another is well, and hedges what runs there.
+	// AvoidStalled sends nothing to a server that seems stalled while
+	// another is healthy, and hedges what runs there.
 	AvoidStalled bool
 	// ZoneCost is what a hop to another availability zone counts for, in
 	// seconds of finish time; 0: zoneCost.
--- a/home/learn.go
+++ b/home/learn.go
@@ -14,7 +14,7 @@
 func (h *Home) learn(now time.Time, a *attempt, end End) {
 	s := a.server
 	if end.HasLoad {
-		s.hear(now, end.Load)
+		s.observeLoad(now, end.Load)
 	}
 	if a.wasAhead {
 		s.ahead.ended(now, countsAsRefusal(end))
--- a/home/overload.go
+++ b/home/overload.go
@@ -41,7 +41,7 @@
 	for i := range h.classes {
 		c := &h.classes[i]
 		for n := c.firstOverdue(now); n > 0; n = c.firstOverdue(now) {
-			c.putBack(c.lowest(n))
+			c.requeueLate(c.lowest(n))
 		}
 	}
 }
@@ -82,8 +82,8 @@
 	return a.Request.Less(b.Request)
 }
 
-// putBack makes a waiting leg stand behind those that can make their due time.
-func (c *class) putBack(l *leg) {
+// requeueLate makes a waiting leg stand behind those that can make their due time.
+func (c *class) requeueLate(l *leg) {
 	c.waiting.remove(l)
 	l.order = l.Deadline
 	c.waiting.insert(l)
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for i := range old {
-		h.classes[position[i]].takeIn(&old[i])
+		h.classes[position[i]].merge(&old[i])
 	}
 	for l := range h.allLegs() {
 		l.Class = position[l.Class]
@@ -78,8 +78,8 @@
 	return kept
 }
 
-// takeIn adds the legs of an old class.
-func (c *class) takeIn(old *class) {
+// merge adds the legs of an old class.
+func (c *class) merge(old *class) {
 	c.running += old.running
 	for _, l := range old.waiting.legs {
 		c.waiting.insert(l)
--- a/home/refusing.go
+++ b/home/refusing.go
@@ -11,7 +11,7 @@
 	// is a few seconds on a host that sends it three a second.
 	refusalWeight = 0.08
 	// refusalHalfLife is how fast the share is forgotten while nothing is sent: a
-	// server that is well again is tried within some seconds.
+	// healthy server is tried again within some seconds.
 	refusalHalfLife = 6 * time.Second
 	// mostRefusalShare keeps a server that refuses nearly all from being taken for
 	// one that never answers: its pauses see to that.
--- a/home/server.go
+++ b/home/server.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// hear takes in the load report of a reply.
-func (s *server) hear(now time.Time, load backend.Load) {
+// observeLoad notes the load report of a reply.
+func (s *server) observeLoad(now time.Time, load backend.Load) {
 	if load.Draining {
 		s.draining = true
 	}
--- a/home/stall.go
+++ b/home/stall.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// stalled reports whether the server seems to stand still: what runs there is
+// stalled reports whether the server seems to be stalled: what runs there is
 // older than requests usually take, and nothing has been answered since it
 // started.
 //
@@ -12,7 +12,7 @@
 // first one; of twenty legs of a query, one meets a pause more often than not.
 // The first stuck leg gives the server away, and the next ones go elsewhere. A
 // single slow request keeps a server out only while it runs, and only as long
-// as another server is well.
+// as another server is healthy.
 func (h *Home) stalled(s *server, now time.Time) bool {
 	if len(s.running) == 0 {
 		return false
@@ -33,7 +33,7 @@
 	return c.spec.HedgeUnknown
 }
 
-// hedgeStalled moves attempts at servers that stand still into the queue of
+// hedgeStalled moves attempts at stalled servers into the queue of
 // hedges, however young they are.
 func (h *Home) hedgeStalled(c *class, now time.Time) {
 	for a := c.watch.head; a != nil; {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -43,7 +43,7 @@
 	now     func() time.Time
 	inForce func() *bundle.Config
 	tune    Tune
-	hear    func(service string, change home.ServerChange)
+	observe func(service string, change home.ServerChange)
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -86,13 +86,15 @@
 // leg runs.
 func (s *Server) SetTune(tune Tune) { s.tune = tune }
 
-// SetHear makes the server tell what the homes believe of backend servers; call
-// it before any leg runs. hear must not block.
-func (s *Server) SetHear(hear func(service string, change home.ServerChange)) { s.hear = hear }
+// SetObserver makes the server tell what the homes believe of backend servers; call
+// it before any leg runs. observe must not block.
+func (s *Server) SetObserver(observe func(service string, change home.ServerChange)) {
+	s.observe = observe
+}
 
-func (s *Server) told(service string, change home.ServerChange) {
-	if s.hear != nil {
-		s.hear(service, change)
+func (s *Server) notify(service string, change home.ServerChange) {
+	if s.observe != nil {
+		s.observe(service, change)
 	}
 }
 
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -138,7 +138,7 @@
 	s.setTimer()
 	s.mu.Unlock()
 	for _, change := range changes {
-		s.server.told(s.name, change)
+		s.server.notify(s.name, change)
 	}
 	for _, e := range endings {
 		e.done(e.result)
--- a/parts_traffic.go
+++ b/parts_traffic.go
@@ -12,10 +12,10 @@
 	"github.com/goldcrestspan/goldcrestspan/booking"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/catalog"
+	"github.com/goldcrestspan/goldcrestspan/draining"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
-	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
@@ -79,7 +79,7 @@
 		log:     log,
 		now:     now,
 		events:  make(chan func(), signalBuffer),
-		leaving: leaving.NewTable(),
+		leaving: draining.NewTable(),
 		listing: catalog.NewListing(),
 	}
 }
--- a/servers.go
+++ b/servers.go
@@ -8,8 +8,8 @@
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/catalog"
+	"github.com/goldcrestspan/goldcrestspan/draining"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
-	"github.com/goldcrestspan/goldcrestspan/leaving"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/place"
@@ -35,7 +35,7 @@
 	events  chan func()
 	listing *catalog.Listing
 	rows    []metastore.ListedHost // in force
-	leaving *leaving.Table
+	leaving *draining.Table
 }
 
 // run owns the state until ctx ends.
@@ -74,11 +74,11 @@
 	if !end.Reply.Load.Draining && end.Fault != backend.FaultDraining {
 		return
 	}
-	signal := leaving.SignalDraining
+	signal := draining.SignalDraining
 	if end.Outcome == result.OutcomeRefused {
-		signal = leaving.SignalRefused
+		signal = draining.SignalRefused
 	}
-	life := leaving.Life{Server: server.Name, Incarnation: end.Reply.Incarnation}
+	life := draining.Life{Server: server.Name, Incarnation: end.Reply.Incarnation}
 	if life.Incarnation == 0 {
 		// The refusal names no life; it came from the one that was called.
 		life.Incarnation = server.Incarnation
@@ -93,7 +93,7 @@
 
 // absorb takes in what another entry host learned.
 func (s *servers) absorb(news member.BackendNews) {
-	life := leaving.Life{Server: news.Server, Incarnation: news.Incarnation}
+	life := draining.Life{Server: news.Server, Incarnation: news.Incarnation}
 	s.post(func() {
 		if s.leaving.Absorb(s.now(), life) {
 			s.publish()
@@ -111,7 +111,7 @@
 }
 
 // left shares a life that left with the other entry hosts.
-func (s *servers) left(life leaving.Life, source string) {
+func (s *servers) left(life draining.Life, source string) {
 	s.members.AnnounceBackend(member.BackendNews{Server: life.Server, Incarnation: life.Incarnation})
 	s.log.Info("backend server leaves", zap.String("server", life.Server), zap.Uint64("incarnation", life.Incarnation), zap.String("source", source))
 }
@@ -130,7 +130,7 @@
 			Incarnation: row.Incarnation,
 		}
 		all = append(all, server)
-		life := leaving.Life{Server: row.Name, Incarnation: row.Incarnation}
+		life := draining.Life{Server: row.Name, Incarnation: row.Incarnation}
 		known[row.Service] = append(known[row.Service], homeserver.Known{
 			Server:   server,
 			SameZone: row.Region == s.region && row.Zone == s.zone,
