--- a/gateway/far.go
+++ b/gateway/far.go
@@ -29,6 +29,11 @@
 // carries its own copy.
 const mostFarBody = 512
 
+// busyProcessor is the share of its processor from which a host calls servers of
+// other availability zones directly: that a part goes through a peer costs the two
+// hosts a third more processor time.
+const busyProcessor = 0.6
+
 // farRunner runs parts at backend servers of other availability zones through a
 // host there.
 //
@@ -43,9 +48,11 @@
 	direct backend.Runner
 	zone   string
 	view   func() *member.View
-	links  *exchange.Client
-	log    *zap.Logger
-	parts  *prometheus.CounterVec // by way
+	// load is the share of its processor that this host uses.
+	load  func() float64
+	links *exchange.Client
+	log   *zap.Logger
+	parts *prometheus.CounterVec // by way
 
 	proxies atomic.Pointer[proxies]
 }
@@ -91,6 +98,9 @@
 	if !call.Idempotent || call.Forward == nil || call.Forward.Merge == nil || len(call.Body) > mostFarBody {
 		return "", false
 	}
+	if r.load() > busyProcessor {
+		return "", false
+	}
 	address, ok = r.currentProxies()[server.Zone]
 	return address, ok && !r.links.Doubts(address)
 }
--- a/gateway/far_test.go
+++ b/gateway/far_test.go
@@ -8,8 +8,11 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -85,3 +88,20 @@
 	rest.Forward = &forward.Request{Attempt: "another"}
 	is.True(askFar(s, rest).Attempt == nil)
 }
+
+// A burst fills the processors of the hosts that carry it. Parts that go through a
+// peer cost two hosts a third more processor time: a busy host must go directly,
+// and save bytes between zones again when it is calm.
+func TestBusyHostCallsFarServersDirectly(t *testing.T) {
+	is := is.New(t)
+	load := 0.0
+	view := &member.View{Hosts: []member.Host{{ID: "peer", Zone: "far", PeerAddress: "10.2.0.1:8106", State: member.StateAlive, CallerAddress: "10.2.0.1:8104"}}}
+	links := exchange.NewClient(t.Context(), peer.NewPool(nil), "self", 1, time.Now)
+	runner := &farRunner{zone: "near", view: func() *member.View { return view }, load: func() float64 { return load }, links: links}
+	call := backend.Call{Idempotent: true, Forward: &forward.Request{Merge: &forward.Merge{Greatest: 5, Services: 20}}}
+	_, through := runner.proxy(backend.Server{Name: "server", Zone: "far"}, call)
+	is.True(through)
+	load = 0.9
+	_, through = runner.proxy(backend.Server{Name: "server", Zone: "far"}, call)
+	is.True(!through)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes of the bodies in flight
 	callers  callerTimes
+	told     atomic.Uint32 // this host's load as the others hear it, in thousandths
 	// serversAt is the store's revision of the newest change of the servers.
 	serversAt atomic.Uint64
 	events    chan func()   // for the control loop
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -45,10 +45,14 @@
 		usedBefore, at = used, now
 		g.shareBudget()
 		told = easedLoad(told, share)
-		g.members.SetLoad(uint32(1000 * told))
+		g.told.Store(uint32(1000 * told))
+		g.members.SetLoad(g.told.Load())
 	}
 }
 
+// load is the share of its processor that this host uses, as the others hear it.
+func (g *Gateway) load() float64 { return float64(g.told.Load()) / 1000 }
+
 // processorTime is the processor time that this process has used.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -103,7 +103,7 @@
 	}
 	links := exchange.NewClient(g.live, pool, ident.HostID(g.options.Name), members.Incarnation(), g.options.Now)
 	links.Silence = farSilence
-	return &farRunner{direct: g.options.Backends, zone: g.options.Zone, view: members.View, links: links, log: g.log, parts: parts}, nil
+	return &farRunner{direct: g.options.Backends, zone: g.options.Zone, view: members.View, load: g.load, links: links, log: g.log, parts: parts}, nil
 }
 
 func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
