--- a/home/forecast.go
+++ b/home/forecast.go
@@ -11,14 +11,59 @@
 // after they have used the slots of twenty services.
 func (h *Home) Forecast(now time.Time, position int) legs.Forecast {
 	c := &h.classes[position]
-	return legs.Forecast{Wait: h.waitFor(c, now), Run: h.runTime(c, now)}
+	return legs.Forecast{Wait: h.waitFor(c, now), Run: h.runTime(c, now), Silent: h.silent(now)}
+}
+
+const (
+	// silentAfter is how long a service must have answered nothing, while each of
+	// its servers owes an answer for as long or takes nothing, before it counts as
+	// silent. It is twice the longest pause of the users' healthy servers.
+	silentAfter = 500 * time.Millisecond
+	// silentFactor: and not before this many times the time of its slow requests.
+	silentFactor = 8
+)
+
+// silent reports whether no server of the service answers or takes a leg.
+//
+// Load: several services lose all their servers at once, some without a word.
+// Harm prevented: searches that can't do without them use the others' slots, and
+// wait for their whole two seconds to hear that they failed. Limit: as soon as one
+// server may be tried again the service is not silent, so that the next search
+// finds out.
+func (h *Home) silent(now time.Time) bool {
+	if !h.known {
+		return false
+	}
+	if !h.anyInService() || h.allRefuse(now) {
+		return true
+	}
+	if now.Sub(h.lastGood) < silentAfter {
+		return false
+	}
+	for _, s := range h.servers {
+		if s.inService() && s.usable(now) && !h.owes(s, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// owes reports whether the server has a request that is older than any should be.
+func (h *Home) owes(s *server, now time.Time) bool {
+	for _, a := range s.running {
+		slow := h.classes[a.leg.Class].slowTime
+		if !a.ahead && now.Sub(a.started) >= max(silentAfter, silentFactor*slow) {
+			return true
+		}
+	}
+	return false
 }
 
 // waitFor is how long a leg that came now would wait for a slot, behind those of
 // its class that are still counted on to be in time.
 func (h *Home) waitFor(c *class, now time.Time) time.Duration {
 	if !h.known || !h.anyInService() {
-		return 0 // such a leg fails at once, with its own reason
+		return 0
 	}
 	if at := h.nextAvailable(now); at.After(now) {
 		return at.Sub(now)
--- a/home/forecast_test.go
+++ b/home/forecast_test.go
@@ -52,3 +52,26 @@
 	b.now = b.now.Add(400 * time.Millisecond)
 	b.is.True(b.home.Forecast(b.now, interactive).Wait > before+400*time.Millisecond)
 }
+
+// Every server of a service goes dark with requests in hand. Searches that need
+// it must hear so before they use the slots of nineteen other services, and the
+// first one after a server may be tried again must be let in to find out.
+func TestServiceWhoseServersAllOweAnswersIsSilent(t *testing.T) {
+	b := newBench(t, config(), 2)
+	b.withoutProbes()
+	b.practise(200)
+	for range 4 {
+		b.submit(interactive, 10*time.Second, true)
+	}
+	b.is.True(!b.home.Forecast(b.now, interactive).Silent) // they have only begun
+	b.now = b.now.Add(2 * silentAfter)
+	b.is.True(b.home.Forecast(b.now, interactive).Silent)
+	b.finish(b.running[0], ran())
+	b.is.True(!b.home.Forecast(b.now, interactive).Silent) // one of them answers
+}
+
+// A service has no server at all: that is known before anything is sent.
+func TestServiceWithoutServersIsSilent(t *testing.T) {
+	b := newBench(t, config(), 0)
+	b.is.True(b.home.Forecast(b.now, interactive).Silent)
+}
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -3,6 +3,7 @@
 package leg
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,6 +81,16 @@
 type Forecast struct {
 	Wait time.Duration // until a slot is free for it
 	Run  time.Duration // from then on, typically
+	// Silent: no server of the service answers or takes it.
+	Silent bool
+}
+
+// String is the forecast in a log line: wait and run in ms.
+func (f Forecast) String() string {
+	if f.Silent {
+		return "silent"
+	}
+	return fmt.Sprintf("%d+%d", f.Wait.Milliseconds(), f.Run.Milliseconds())
 }
 
 // UnknownWait stands for a wait that is not known.
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -50,7 +50,7 @@
 	var decided Admission
 	late := 0
 	for i, f := range forecasts {
-		if f.Wait > 0 && f.Wait > time.Duration(waitShare*float64(left-f.Run)) {
+		if f.Silent || f.Wait > 0 && f.Wait > time.Duration(waitShare*float64(left-f.Run)) {
 			decided.leaveOut(i, len(forecasts))
 			late++
 		}
@@ -79,10 +79,7 @@
 	if r.work.Target.IsZero() || len(shards) < 2 {
 		return true
 	}
-	forecasts := make([]leg.Forecast, len(shards))
-	for i, shard := range shards {
-		forecasts[i] = r.c.homes.Forecast(shard.Service, r.work.Class)
-	}
+	forecasts := r.forecasts()
 	decided := Decide(&r.work.Plan, r.due().Sub(r.started), forecasts)
 	r.optional = decided.Optional
 	if !decided.Refuse {
@@ -92,6 +89,25 @@
 	return false
 }
 
+func (r *run) forecasts() []leg.Forecast {
+	shards := r.work.Snapshot.Shards
+	forecasts := make([]leg.Forecast, len(shards))
+	for i, shard := range shards {
+		forecasts[i] = r.c.homes.Forecast(shard.Service, r.work.Class)
+	}
+	return forecasts
+}
+
+// silentShards counts the shards without a result whose services are silent.
+func (r *run) silentShards() (n int) {
+	for i, f := range r.forecasts() {
+		if f.Silent && !r.query.Settled(i) {
+			n++
+		}
+	}
+	return n
+}
+
 // mostDescribed bounds the shards that a refusal names.
 const mostDescribed = 8
 
@@ -104,7 +120,7 @@
 			continue
 		}
 		if late < mostDescribed {
-			fmt.Fprintf(&text, " %s:%d+%d", r.work.Snapshot.Shards[i].Service, forecasts[i].Wait.Milliseconds(), forecasts[i].Run.Milliseconds())
+			fmt.Fprintf(&text, " %s:%s", r.work.Snapshot.Shards[i].Service, forecasts[i])
 		}
 		late++
 	}
--- a/scatter/admission_test.go
+++ b/scatter/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -122,3 +123,49 @@
 	is.Equal(h.sent, 5)
 	is.Equal(len(h.optional), 0)
 }
+
+// Four of a search's services have lost all their servers. The search used the
+// slots of the others, and some waited two seconds for a failure. It must hear at
+// once that it has not run, as long as it can't do without them.
+func TestSearchThatNeedsSilentServicesIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := queued()
+	h.forecast["b"], h.forecast["d"] = leg.Forecast{Silent: true}, leg.Forecast{Silent: true}
+	refused := h.ask(0.8, 0, "a", "b", "c", "d", "e")
+	is.Equal(refused.Code, result.Overloaded)
+	is.Equal(h.sent, 0)
+	is.Equal(h.ask(0.6, 0, "a", "b", "c", "d", "e").Code, result.Complete)
+}
+
+// silentHomes never answers, and says after the first look that it is silent.
+type silentHomes struct{ busyHomes }
+
+func (h *silentHomes) Runner(ident.HostID) (leg.Runner, bool) { return h, true }
+
+func (h *silentHomes) Run(leg.Request, func(leg.Result)) (cancel func()) {
+	h.sent++
+	return func() {}
+}
+
+func (h *silentHomes) Forecast(string, string) leg.Forecast {
+	return leg.Forecast{Silent: h.sent > 0}
+}
+
+// The services go dark while a search is under way. It must end soon after its
+// target, when it is known that nothing comes, and not say that it has not run.
+func TestSearchEndsOnceItsServicesAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &silentHomes{}
+		s := &snapshot.Snapshot{Version: 1, Shards: []snapshot.Shard{{ID: 0, Service: "a"}, {ID: 1, Service: "b"}}}
+		now := time.Now()
+		c := NewCoordinator(h, noCounter{}, time.Now, func(string, string, []snapshot.Version) {})
+		answer := c.Run(t.Context(), Work{Plan: Plan{
+			Request: ident.RequestID{1}, Snapshot: s, Started: now, Target: now.Add(100 * time.Millisecond),
+			Deadline: now.Add(2 * time.Second), LeastCoverage: 1, Idempotent: true,
+		}})
+		is.True(!answer.Code.NotRun())
+		is.Equal(len(answer.Parts), 0)
+		is.True(time.Since(now) < 300*time.Millisecond)
+	})
+}
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -113,7 +113,7 @@
 			r.take(a)
 		case <-timer.C:
 			r.cutOff()
-			timer.Reset(r.query.NextCutOff().Sub(c.now()))
+			timer.Reset(r.nextLook())
 		case <-ctx.Done():
 			r.query.Abandon()
 		}
@@ -139,6 +139,22 @@
 		r.takeWaiting()
 	}
 	r.query.CutOff(now)
+	if r.query.Late() {
+		r.query.GiveUp(r.silentShards())
+	}
+}
+
+// lateCheck is how often a query that is past its target looks whether its least
+// coverage can still be had.
+const lateCheck = 100 * time.Millisecond
+
+// nextLook is how long until cutOff is due again.
+func (r *run) nextLook() time.Duration {
+	next := r.query.NextCutOff().Sub(r.c.now())
+	if r.query.Late() {
+		next = min(next, lateCheck)
+	}
+	return next
 }
 
 // takeWaiting takes in the results that have come already.
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -214,6 +214,21 @@
 	}
 }
 
+// Late reports whether the target has passed without an answer.
+func (q *Query) Late() bool { return q.late && q.answer == nil }
+
+// Settled reports whether the shard at the position has its result.
+func (q *Query) Settled(position int) bool { return q.shards[position].settled }
+
+// GiveUp ends the query if its least coverage can't be had without those of the
+// open shards, so many, that are given up.
+func (q *Query) GiveUp(shards int) {
+	if q.answer == nil && !q.covers(q.have+q.open-shards) {
+		q.closeOpen(result.DeadlineExceeded, "its service is silent")
+		q.finish()
+	}
+}
+
 // NextCutOff is when CutOff is due next.
 func (q *Query) NextCutOff() time.Time {
 	final := FinalCutOff(q.plan)
