--- a/home/place.go
+++ b/home/place.go
@@ -35,7 +35,7 @@
 		}
 		limit := s.limit(h.anyWarm)
 		expected := s.expected(c.index, prior, now)
-		if h.tooSlow(c, l, expected, now) || (h.usableCount > 1 && h.stalled(s, now)) {
+		if h.usableCount > 1 && h.stalled(s, now) {
 			continue
 		}
 		if len(s.running) >= s.room(c.long, h.anyWarm, now) {
@@ -56,20 +56,6 @@
 	return best
 }
 
-// tooSlow reports whether a server would typically answer a leg that can still
-// make its due time after it, while another server would not.
-//
-// Load: one of two servers takes eight times as long, the other is full. Harm
-// prevented: the leg starts at once on the slow one, can't make it, and takes a
-// hedge from the budget. A leg that can't make it anyway uses the slow one.
-func (h *Home) tooSlow(c *class, l *leg, expected float64, now time.Time) bool {
-	if !l.timely() || c.typicalTime == 0 || h.usableCount < 2 {
-		return false
-	}
-	left := l.order.Sub(now).Seconds()
-	return expected > left && c.typicalTime.Seconds() < left
-}
-
 // freeFinish is the expected finish on a server with a free slot. Requests that
 // run there, this home's or reported ones, count for a part of one: they slow
 // it down.
