--- a/home/forecast_test.go
+++ b/home/forecast_test.go
@@ -86,3 +86,16 @@
 	b.now = b.now.Add(4 * silentAfter)
 	b.is.True(!b.home.Forecast(b.now, interactive).Silent)
 }
+
+// BenchmarkForecast is asked once for each shard of each search, before its legs.
+func BenchmarkForecast(b *testing.B) {
+	h := host(1, 2)[0]
+	var acts []Action
+	for range 200 {
+		acts = h.serve(acts)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.home.Forecast(h.now, interactive)
+	}
+}
