--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -118,7 +118,8 @@
 	return state
 }
 
-// outlived reports whether a later start of the server is known.
+// outlived reports whether a later start of the server is known; else it remembers
+// this one.
 //
 // Failure: a server crashes with a write to the store on its way and starts again
 // under its id; the write is done seconds later. It shows as a server whose old
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -123,8 +123,7 @@
 // class had every slot.
 func (h *Home) waitAhead(c *class, l *leg, now time.Time) time.Duration {
 	ahead := c.waiting.position(l)
-	seconds := float64(ahead) * c.prior(now) / float64(max(1, h.totalSlots))
-	return time.Duration(seconds * float64(time.Second))
+	return seconds(float64(ahead) * c.prior(now) / float64(max(1, h.totalSlots)))
 }
 
 // canMeet reports whether a fast answer would still be in time.
--- a/home/forecast.go
+++ b/home/forecast.go
@@ -73,21 +73,27 @@
 		if h.hasFreeSlot(now) {
 			return 0
 		}
-		return seconds(c.prior(now) / float64(max(1, h.totalSlots)))
+		return h.slotInterval(c, now)
 	}
-	return time.Duration(c.timelyWaiting()+1) * c.interval(now, h.totalSlots)
+	return time.Duration(c.timelyWaiting()+1) * h.startInterval(c, now)
 }
 
-// interval is the time between two starts of waiting legs: the measured pace, or
+// slotInterval is the mean time until one of all slots is free, if the class had
+// them all.
+func (h *Home) slotInterval(c *class, now time.Time) time.Duration {
+	return seconds(c.prior(now) / float64(max(1, h.totalSlots)))
+}
+
+// startInterval is the time between two starts of waiting legs: the measured pace, or
 // the time since the last start where that is already longer.
 //
 // Load: every server of a service falls silent with its slots full. Harm
 // prevented: nothing starts, so no start tells that the pace is gone, and queries
 // are sent into a queue that does not move.
-func (c *class) interval(now time.Time, slots int) time.Duration {
+func (h *Home) startInterval(c *class, now time.Time) time.Duration {
 	usual := seconds(c.pace.seconds)
 	if usual == 0 {
-		usual = seconds(c.prior(now) / float64(max(1, slots)))
+		usual = h.slotInterval(c, now)
 	}
 	if !c.pace.backlog {
 		return usual
@@ -120,4 +126,5 @@
 	return max(c.typicalTime, seconds(least))
 }
 
+// seconds turns a time in seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/home/learn.go
+++ b/home/learn.go
@@ -40,8 +40,7 @@
 // slotTime is how long until a slot of a full server is free, on average.
 func (h *Home) slotTime(a *attempt, now time.Time) time.Duration {
 	c := &h.classes[a.leg.Class]
-	seconds := a.server.expected(c.index, c.prior(now), now) / float64(max(1, a.server.slots))
-	return time.Duration(seconds * float64(time.Second))
+	return seconds(a.server.expected(c.index, c.prior(now), now) / float64(max(1, a.server.slots)))
 }
 
 // observe adds an attempt's time to what is known of its server and class. A
--- a/home/settle.go
+++ b/home/settle.go
@@ -191,10 +191,10 @@
 
 // drainTime is how long the waiting legs keep the slots busy.
 func (h *Home) drainTime(now time.Time) time.Duration {
-	seconds := 0.0
+	work := 0.0 // seconds of slot time
 	for i := range h.classes {
 		c := &h.classes[i]
-		seconds += float64(c.waiting.len()) * c.prior(now)
+		work += float64(c.waiting.len()) * c.prior(now)
 	}
-	return time.Duration(seconds / float64(max(1, h.totalSlots)) * float64(time.Second))
+	return seconds(work / float64(max(1, h.totalSlots)))
 }
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -30,7 +30,7 @@
 	Body        []byte
 	// Due is when the answer loses most of its worth; zero: at the deadline.
 	Due time.Time
-	// Optional: the query can do without the answer, and the service is strained.
+	// Optional: the query can do without the answer, which would not be in time.
 	Optional bool
 	// MaxServers bounds the backend servers that may run the leg; 0: no bound.
 	MaxServers int
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -22,7 +22,7 @@
 //
 // Load: a queue of some ten legs, of which each host sees its own. Harm prevented:
 // a query that is let in at the last moment is late at the one service in twenty
-// that is slower than its forecast. In the model (bench, GoodputCase) at eight times
+// that is slower than its forecast. In the model of GoodputCase at eight times
 // a third of the capacity 0.98 of the capacity went into answers in time, with 0.4
 // 0.96, with 0.8 0.95, with 1.0 0.76.
 const waitShare = 0.6
@@ -40,7 +40,7 @@
 // Load: services above their capacity for seconds, by a burst or since half of
 // their servers are slow. Harm prevented: each query's legs use the slots of
 // twenty services, and a query that then lacks three of them in time has taken
-// them from others for nothing. In the model of two hosts (bench, GoodputCase) at
+// them from others for nothing. In the model of two hosts (GoodputCase) at
 // four times a third of the capacity 0.45 of the capacity went into answers in
 // time, 0.97 with this decision. Limits: what is late since a server is slow, and not
 // since others are before it, takes nothing from anybody and goes on; and so does
@@ -100,8 +100,8 @@
 
 // silentShards counts the shards without a result whose services are silent.
 func (r *run) silentShards() (n int) {
-	for i, f := range r.forecasts() {
-		if f.Silent && !r.query.Settled(i) {
+	for i, shard := range r.work.Snapshot.Shards {
+		if !r.query.Settled(i) && r.c.homes.Forecast(shard.Service, r.work.Class).Silent {
 			n++
 		}
 	}
