--- a/home/class.go
+++ b/home/class.go
@@ -28,15 +28,24 @@
 	// virtual is the slot time used, in seconds, divided by the share.
 	virtual float64
 	// long: the class's work takes much longer than that of an active other.
-	long     bool
-	skipped  bool // in the present decision: no server takes its legs
-	pace     pace
-	lastSeen time.Time
-	times    meanTime
-	observed histogram
-	// quantiles of observed, refreshed every refreshEvery samples
-	slowTime, typicalTime, leastTime time.Duration
-	sinceRefresh                     int
+	long         bool
+	skipped      bool // in the present decision: no server takes its legs
+	pace         pace
+	lastSeen     time.Time
+	times        meanTime
+	observed     histogram
+	own          quantiles // of observed, refreshed every refreshEvery samples
+	sinceRefresh int
+	shared       *sharedClass // nil: nothing is shared
+}
+
+// quantiles are the class's own, or those that all homes of the host share while
+// too little is known here.
+func (c *class) quantiles() quantiles {
+	if c.own.slow > 0 {
+		return c.own
+	}
+	return c.shared.quantiles()
 }
 
 func (c *class) weight() float64 { return max(c.spec.ReservedShare, leastWeight) }
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -128,7 +128,7 @@
 
 // canMeet reports whether a fast answer would still be in time.
 func (h *Home) canMeet(l *leg, now time.Time) bool {
-	return now.Add(h.classes[l.Class].leastTime).Before(l.Deadline)
+	return now.Add(h.classes[l.Class].quantiles().least).Before(l.Deadline)
 }
 
 // demoteLate puts waiting legs that can't be answered by the time they are due
@@ -154,7 +154,7 @@
 // canMakeDue reports whether a leg that starts now is typically answered by the
 // time it is due.
 func (h *Home) canMakeDue(c *class, l *leg, now time.Time) bool {
-	return now.Add(c.typicalTime).Before(l.order)
+	return now.Add(c.quantiles().typical).Before(l.order)
 }
 
 // dropLate drops waiting legs whose answer would come too late: the slot is
--- a/home/forecast.go
+++ b/home/forecast.go
@@ -52,7 +52,7 @@
 // Of a class whose times are not known that can't be said.
 func (h *Home) owes(s *server, now time.Time) bool {
 	for _, a := range s.running {
-		slow := h.classes[a.leg.Class].slowTime
+		slow := h.classes[a.leg.Class].quantiles().slow
 		if slow > 0 && !a.ahead && now.Sub(a.started) >= max(silentAfter, silentFactor*slow) {
 			return true
 		}
@@ -123,7 +123,7 @@
 			least = expected
 		}
 	}
-	return max(c.typicalTime, seconds(least))
+	return max(c.quantiles().typical, seconds(least))
 }
 
 // seconds turns a time in seconds into a Duration.
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -28,7 +28,7 @@
 	if h.cfg.HedgeBudget <= 0 {
 		return 0
 	}
-	slow := c.slowTime
+	slow := c.quantiles().slow
 	if slow == 0 {
 		slow = c.spec.HedgeUnknown
 	}
@@ -62,7 +62,7 @@
 func (h *Home) wantsHedge(c *class, a *attempt, now time.Time) bool {
 	l := a.leg
 	return !l.done && l.Idempotent && l.place == notQueued && !l.hedged && l.runningCount() == 1 &&
-		h.usableCount > 1 && l.serversLeft() > 0 && now.Add(c.leastTime).Before(l.Deadline)
+		h.usableCount > 1 && l.serversLeft() > 0 && now.Add(c.quantiles().least).Before(l.Deadline)
 }
 
 // pickHedge is the first hedge that has a free server other than the one that
--- a/home/home.go
+++ b/home/home.go
@@ -131,6 +131,8 @@
 	// AvoidStalled sends nothing to a server that seems stalled while
 	// another is healthy, and hedges what runs there.
 	AvoidStalled bool
+	// Shared is what all homes of this host know together; nil: each learns alone.
+	Shared *Shared
 	// ZoneCost is what a hop to another availability zone counts for, in
 	// seconds of finish time; 0: zoneCost.
 	ZoneCost float64
--- a/home/learn.go
+++ b/home/learn.go
@@ -60,22 +60,21 @@
 	if !completed && a.hedge {
 		return
 	}
+	c.shared.add(spent, h.cfg.HedgeQuantile)
 	c.observed.add(spent)
 	c.sinceRefresh++
-	if c.sinceRefresh >= refreshEvery || c.slowTime == 0 {
+	if c.sinceRefresh >= refreshEvery || c.own.slow == 0 {
 		c.refresh(h.cfg.HedgeQuantile)
 	}
 }
 
 func (c *class) refresh(slowQuantile float64) {
-	slow, ok := c.observed.quantile(slowQuantile)
+	q, ok := quantilesOf(&c.observed, slowQuantile)
 	if !ok {
 		return
 	}
 	c.sinceRefresh = 0
-	c.slowTime = slow
-	c.typicalTime, _ = c.observed.quantile(typicalQuantile)
-	c.leastTime, _ = c.observed.quantile(leastQuantile)
+	c.own = q
 }
 
 func (h *Home) healthy(s *server, c *class, now time.Time) bool {
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -41,7 +41,7 @@
 	old := h.classes
 	h.classes = make([]class, len(cfg.Classes))
 	for i := range h.classes {
-		h.classes[i] = class{spec: cfg.Classes[i], index: i}
+		h.classes[i] = class{spec: cfg.Classes[i], index: i, shared: cfg.Shared.class(cfg.Classes[i].Name)}
 	}
 	for i := range old {
 		c := &h.classes[position[i]]
@@ -72,7 +72,7 @@
 // keepLearnt carries what was measured over to the class of the same name.
 func keepLearnt(next, old *class) class {
 	kept := *old
-	kept.spec, kept.index = next.spec, next.index
+	kept.spec, kept.index, kept.shared = next.spec, next.index, next.shared
 	kept.running = 0
 	kept.waiting, kept.hedges, kept.watch = queue{}, queue{}, attemptList{}
 	return kept
--- a/home/stall.go
+++ b/home/stall.go
@@ -27,8 +27,8 @@
 	if !h.cfg.AvoidStalled {
 		return 0
 	}
-	if c.slowTime > 0 {
-		return c.slowTime
+	if slow := c.quantiles().slow; slow > 0 {
+		return slow
 	}
 	return c.spec.HedgeUnknown
 }
--- a/home/state.go
+++ b/home/state.go
@@ -70,7 +70,7 @@
 		retryBudget: retry.NewBudget(cfg.RetryBudget, cfg.RetryBurst),
 	}
 	for i := range h.classes {
-		h.classes[i] = class{spec: cfg.Classes[i], index: i}
+		h.classes[i] = class{spec: cfg.Classes[i], index: i, shared: cfg.Shared.class(cfg.Classes[i].Name)}
 	}
 	return h
 }
@@ -193,7 +193,7 @@
 		}
 		if c.waiting.len() > 0 {
 			waiting = true
-			next = earlier(next, c.waiting.legs[0].Deadline.Add(-c.leastTime))
+			next = earlier(next, c.waiting.legs[0].Deadline.Add(-c.quantiles().least))
 		}
 	}
 	if !waiting {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -51,6 +51,7 @@
 	config   *bundle.Config
 	nextHome uint64
 	nextLeg  atomic.Uint64
+	shared   *home.Shared
 }
 
 // Known is a backend server as the control goroutine knows it.
@@ -79,6 +80,7 @@
 		inForce:  inForce,
 		services: make(map[string]*service),
 		known:    make(map[string][]Known),
+		shared:   home.NewShared(),
 	}
 }
 
@@ -231,6 +233,7 @@
 		HedgeBudget:    config.Policy.HedgeBudget,
 		HedgeQuantile:  config.Policy.HedgeQuantile,
 		RetryBudget:    config.Policy.RetryBudget,
+		Shared:         s.shared,
 	}
 	if s.tune != nil {
 		s.tune(&limits)
