--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,7 +42,7 @@
 	Trim(server backend.Server, keep int)
 }
 
-// Options are what a Gateway needs. All must be set.
+// Options are what a Gateway needs. All must be set but OnLoad.
 type Options struct {
 	Name   string // of this host
 	Region string
@@ -59,6 +59,10 @@
 	// processor, or less where its link is the narrower.
 	Capacity uint32
 
+	// OnLoad hears which share of its processor this host uses, eased; nil: nobody
+	// does. It must not block.
+	OnLoad func(share float64)
+
 	Store    metastore.Store
 	Backends Backends
 	Decode   Decoder
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -47,6 +47,9 @@
 		told = easedLoad(told, share)
 		g.told.Store(uint32(1000 * told))
 		g.members.SetLoad(g.told.Load())
+		if g.options.OnLoad != nil {
+			g.options.OnLoad(told)
+		}
 	}
 }
 
