--- /dev/null
+++ b/entry/homes_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/member"
+)
+
+// largeFleet has three large and thirty small hosts in each of seven zones, of which
+// a, b and c hold the servers.
+func largeFleet() (view *member.View, serversIn map[string]int) {
+	view = &member.View{}
+	for zone := range 7 {
+		name := string(rune('a' + zone))
+		for i := range 33 {
+			capacity := uint32(192)
+			if i < 3 {
+				capacity = 800
+			}
+			view.Hosts = append(view.Hosts, carrier(fmt.Sprintf("%s%02d", name, i), name, ident.Incarnation(i+1), capacity))
+		}
+	}
+	return view, map[string]int{"a": 187, "b": 187, "c": 187, "d": 7, "e": 7, "f": 7, "g": 7}
+}
+
+// One host that asks 180 services one after the other is late before the last of them
+// is asked. The large hosts of the zones that hold the servers share them.
+func TestLargeHostsNearTheServersShareALargeSearch(t *testing.T) {
+	is := is.New(t)
+	view, serversIn := largeFleet()
+	is.Equal(names(Homes(view, serversIn, 180)), []string{"a00", "a01", "a02", "b00", "b01", "b02", "c00", "c01", "c02"})
+	// Of more legs than the large hosts should have none goes to small ones: the
+	// search would wait for these.
+	is.Equal(len(Homes(view, serversIn, 450)), 9)
+	is.Equal(len(Homes(view, serversIn, 70)), 6)
+}
+
+// A search over a few services costs one host less than the ways between two.
+func TestSmallSearchIsNotShared(t *testing.T) {
+	is := is.New(t)
+	view, serversIn := largeFleet()
+	is.Equal(len(Homes(view, serversIn, splitFrom-1)), 0)
+	alone := &member.View{Hosts: view.Hosts[:1]}
+	is.Equal(len(Homes(alone, serversIn, 180)), 0)
+	is.Equal(len(Homes(view, nil, 180)), 0) // no servers are known yet
+}
+
+// A home is suspected, or leaves: the next host of its zone takes its place at once, and
+// a zone that is lost takes a third of the homes with it, not the search.
+func TestHomesAreWell(t *testing.T) {
+	is := is.New(t)
+	view, serversIn := largeFleet()
+	view.Hosts[0].State = member.StateLeaving
+	is.Equal(names(Homes(view, serversIn, 180))[0], "a01")
+	for i := range view.Hosts {
+		if view.Hosts[i].Zone == "b" {
+			view.Hosts[i].State = member.StateDead
+		}
+	}
+	is.Equal(names(Homes(view, serversIn, 180)), []string{"a01", "a02", "c00", "c01", "c02"})
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -25,6 +25,9 @@
 	now  func() time.Time
 	// Silence of its links; set it before the first leg.
 	Silence Silence
+	// OnSilent hears of services of which no server answers a peer that owes replies;
+	// set it before the first leg. It must not block.
+	OnSilent func(service string)
 
 	mu    sync.Mutex
 	peers map[string]*remote // by peers' address
@@ -38,7 +41,8 @@
 		self: hello(self, incarnation),
 		now:  now,
 
-		Silence: defaultSilence,
+		Silence:  defaultSilence,
+		OnSilent: func(string) {},
 
 		peers: make(map[string]*remote),
 	}
@@ -185,7 +189,7 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	return newLink(conn, stream, cancel, r.client.now, r.client.Silence), ctx, nil
+	return newLink(conn, stream, cancel, r.client), ctx, nil
 }
 
 // serve runs the link's goroutines and cleans up when the first one ends.
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -39,6 +39,8 @@
 	out    *outbox
 	now    func() time.Time
 	limits Silence
+	// onSilent hears of services of which no server answers the peer.
+	onSilent func(service string)
 
 	mu      sync.Mutex
 	nextLeg uint64
@@ -55,18 +57,20 @@
 	sent    bool // the writer has taken it: it may have reached the peer
 }
 
-func newLink(conn drpc.Conn, stream exchangepb.DRPCExchange_LegsClient, cancel context.CancelFunc, now func() time.Time, limits Silence) *link {
+func newLink(conn drpc.Conn, stream exchangepb.DRPCExchange_LegsClient, cancel context.CancelFunc, c *Client) *link {
+	now := c.now
 	return &link{
-		conn:    conn,
-		stream:  stream,
-		cancel:  cancel,
-		out:     newOutbox(),
-		now:     now,
-		limits:  limits,
-		pending: make(map[uint64]*pendingLeg),
-		heads:   heads{open: make(map[*forward.Request]*openHead)},
-		heard:   now(),
-		used:    now(),
+		conn:     conn,
+		stream:   stream,
+		cancel:   cancel,
+		out:      newOutbox(),
+		now:      now,
+		limits:   c.Silence,
+		onSilent: c.OnSilent,
+		pending:  make(map[uint64]*pendingLeg),
+		heads:    heads{open: make(map[*forward.Request]*openHead)},
+		heard:    now(),
+		used:     now(),
 	}
 }
 
@@ -95,12 +99,15 @@
 // encode makes the leg's message, after its head where that was not sent yet;
 // the lock is held.
 func (l *link) encode(id uint64, request leg.Request) *exchangepb.LegRequest {
-	if request.Server == "" {
+	if request.Forward == nil {
 		return encodeRequest(id, request, l.now())
 	}
 	head, first := l.heads.use(request.Forward)
 	if first {
-		l.out.put(item{head: encodeHead(head, request.Forward)})
+		l.out.put(item{head: encodeHead(head, request, l.now())})
+	}
+	if request.Server == "" {
+		return encodeShared(id, head, request)
 	}
 	return encodeNamed(id, head, request, l.now())
 }
@@ -109,7 +116,7 @@
 func (l *link) forget(id uint64) *pendingLeg {
 	p := l.pending[id]
 	delete(l.pending, id)
-	if p == nil || p.request.Server == "" {
+	if p == nil || p.request.Forward == nil {
 		return p
 	}
 	if head, last := l.heads.release(p.request.Forward); last {
@@ -180,6 +187,9 @@
 		for _, reply := range frame.GetReplies() {
 			l.deliver(reply)
 		}
+		for _, service := range frame.GetSilent() {
+			l.onSilent(service)
+		}
 	}
 }
 
@@ -191,6 +201,8 @@
 	case p == nil:
 	case reply.GetAttempt() != nil:
 		p.done(decodeAttempt(reply, p.request))
+	case p.request.Forward != nil:
+		p.done(decodeSharedReply(reply, p.request))
 	default:
 		p.done(decodeResult(reply))
 	}
--- a/exchange/named.go
+++ b/exchange/named.go
@@ -77,11 +77,15 @@
 	return r
 }
 
-func encodeHead(id uint32, f *forward.Request) *exchangepb.Head {
+func encodeHead(id uint32, r leg.Request, now time.Time) *exchangepb.Head {
+	f := r.Forward
 	head := &exchangepb.Head{Id: id, Method: f.Method, Target: f.Target, Host: f.Host, Attempt: f.Attempt}
 	for _, name := range slices.Sorted(maps.Keys(f.Header)) {
 		head.Headers = append(head.Headers, &exchangepb.Header{Name: name, Values: f.Header[name]})
 	}
+	if r.Server == "" {
+		head.Share = encodeShare(r, now)
+	}
 	return head
 }
 
--- a/exchange/outbox.go
+++ b/exchange/outbox.go
@@ -29,6 +29,7 @@
 	cancel  *exchangepb.LegCancel
 	head    *exchangepb.Head
 	ended   uint32 // the id of a head
+	silent  string // a service
 	ping    uint64
 	pong    uint64
 }
@@ -49,6 +50,17 @@
 	return true
 }
 
+// putAll adds messages that go together, as far as a frame holds them.
+func (o *outbox) putAll(items []item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return
+	}
+	o.waiting = append(o.waiting, items...)
+	o.signal()
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.ready <- struct{}{}:
@@ -111,6 +123,8 @@
 			f.Heads = append(f.Heads, it.head)
 		case it.ended != 0:
 			f.EndedHeads = append(f.EndedHeads, it.ended)
+		case it.silent != "":
+			f.Silent = append(f.Silent, it.silent)
 		case it.ping != 0:
 			f.Ping = it.ping
 		case it.pong != 0:
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
@@ -57,6 +60,8 @@
 	shards   map[*route.Route]*snapshot.Snapshot
 	single   map[string]*snapshot.Snapshot // by service, for plain routes
 	targets  map[string]time.Duration      // by class
+	split    map[string]bool               // services of searches that are split
+	largest  int                           // services of the largest of these
 }
 
 func newConfiguration(revision uint64, config *route.Config) (*configuration, error) {
@@ -74,12 +79,14 @@
 		shards:   make(map[*route.Route]*snapshot.Snapshot),
 		single:   make(map[string]*snapshot.Snapshot),
 		targets:  make(map[string]time.Duration),
+		split:    make(map[string]bool),
 	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		c.targets[className(r)] = r.Target
 		if r.AsksAll() {
 			c.shards[r] = newSnapshot(config.Version, r.Shards)
+			c.noteSplit(r)
 		}
 		for _, share := range r.Shares {
 			c.single[share.Service] = newSnapshot(config.Version, []string{share.Service})
@@ -88,6 +95,34 @@
 	return c, nil
 }
 
+func (c *configuration) noteSplit(r *route.Route) {
+	if !entry.Splits(len(r.Shards)) {
+		return
+	}
+	c.largest = max(c.largest, len(r.Shards))
+	for _, service := range r.Shards {
+		c.split[service] = true
+	}
+}
+
+// names reports whether the configuration names the service.
+func (c *configuration) names(service string) bool {
+	_, named := c.homes.Service(service)
+	return named
+}
+
+// splitServices are the services of split searches that have servers, with the
+// availability zones of these.
+func (c *configuration) splitServices(servers map[string]backend.Server) *splitServices {
+	var asked []backend.Server
+	for _, server := range servers {
+		if c.split[server.Service] {
+			asked = append(asked, server)
+		}
+	}
+	return &splitServices{services: place.Services(asked), largest: c.largest}
+}
+
 // newSnapshot numbers the services as the shards of one version.
 func newSnapshot(version uint64, services []string) *snapshot.Snapshot {
 	s := &snapshot.Snapshot{Version: snapshot.Version(version)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,18 +86,20 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	options     Options
-	startedAt   time.Time
-	log         *zap.Logger
-	metrics     *observe.Metrics
-	members     *member.Agent
-	homes       *homeserver.Server
-	coordinator *scatter.Coordinator
-	relay       *discover.Relay
-	configs     *discover.Follower
-	servers     *discover.Follower
-	peers       *peer.Server
-	farServer   *farServer
+	options       Options
+	startedAt     time.Time
+	log           *zap.Logger
+	metrics       *observe.Metrics
+	members       *member.Agent
+	homes         *homeserver.Server
+	coordinator   *scatter.Coordinator
+	relay         *discover.Relay
+	configs       *discover.Follower
+	servers       *discover.Follower
+	peers         *peer.Server
+	farServer     *farServer
+	homeLegs      *homeLegs
+	toldForecasts *toldForecasts
 	// live ends after the planned stop; links to peers end with it.
 	live context.Context
 	end  context.CancelFunc
@@ -106,7 +108,8 @@
 	sharing  atomic.Int64 // hosts that the slack of the budget is divided by
 	inForce  atomic.Pointer[configuration]
 	zones    atomic.Pointer[map[string]int] // backend servers by zone
-	zonesMu  sync.Mutex                     // held while zones is worked out
+	zonesMu  sync.Mutex                     // held while zones and split are worked out
+	split    atomic.Pointer[splitServices]
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes of the bodies in flight
@@ -258,6 +261,7 @@
 	g.inForce.Store(next)
 	g.homes.Refresh()
 	g.callers.forget(next.targets)
+	g.toldForecasts.forget(next.names)
 	g.countZones()
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -1,29 +1,233 @@
 package gateway
 
 import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/entry"
+	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
-// localHomes makes this host the home of every service: few hosts carry the
-// traffic, and each knows most of what runs at the servers near it.
-type localHomes struct {
+// homes says which host is the home of each service. Services of small searches and
+// of plain routes have this host, whoever it is: few hosts carry the traffic, and
+// each knows most of what runs at the servers near it. Those of large searches are
+// shared by the hosts that entry.Homes chooses, each the one home of its services.
+type homes struct {
 	self  ident.HostID
 	local *homeserver.Server
+	view  func() *member.View
+	zones func() map[string]int
+	// split are the services of large searches and how many the largest has.
+	split func() (services []place.Service, largest int)
+	links *exchange.Client
+	told  *toldForecasts
+	log   *zap.Logger
+
+	placed atomic.Pointer[placement]
+	mu     sync.Mutex // held while a placement is worked out
+}
+
+// placement is who is the home of which service, for one set of hosts and services.
+type placement struct {
+	of       *member.View
+	services []place.Service
+	hosts    []ident.HostID
+	address  map[ident.HostID]string // peers' addresses
+	homes    *place.Homes            // nil: nothing is shared
 }
 
-// Of implements scatter.Homes.
-func (h localHomes) Of(string) (first, second ident.HostID) { return h.self, "" }
+// Of implements scatter.Homes. The second home is this host: a search whose share is
+// lost with its home goes on at once, and needs no third host for it.
+//
+// Failure: a home is frozen or cut off. It shows as replies that don't come, while
+// the view still calls it alive for seconds. The guard holds because a peer that owes
+// replies and has not answered a ping for Doubt gets no further legs.
+func (h *homes) Of(service string) (first, second ident.HostID) {
+	p := h.current()
+	if p.homes == nil {
+		return h.self, ""
+	}
+	first, _ = p.homes.Of(service)
+	if first == "" || first == h.self || h.links.Doubts(p.address[first]) {
+		return h.self, ""
+	}
+	return first, h.self
+}
 
 // Runner implements scatter.Homes.
-func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
+func (h *homes) Runner(host ident.HostID) (leg.Runner, bool) {
+	if host == h.self {
+		return h.local, true
+	}
+	address, known := h.current().address[host]
+	if !known {
+		return nil, false
+	}
+	return remoteHome{links: h.links, address: address, told: h.told}, true
+}
+
+// Forecast implements scatter.Homes.
+func (h *homes) Forecast(service, class string) leg.Forecast {
+	if first, _ := h.Of(service); first == h.self {
+		return h.local.Forecast(service, class)
+	}
+	return h.told.forecast(service, class)
+}
+
+// current is the placement for the view and the services of this moment.
+func (h *homes) current() *placement {
+	view := h.view()
+	services, largest := h.split()
+	if p := h.placed.Load(); p.holds(view, services) {
+		return p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.placed.Load()
+	if before.holds(view, services) {
+		return before
+	}
+	next := h.place(view, services, largest, before)
+	h.placed.Store(next)
+	return next
+}
+
+func (p *placement) holds(view *member.View, services []place.Service) bool {
+	return p != nil && p.of == view && sameServices(p.services, services)
+}
+
+// sameServices compares two lists that are replaced as a whole.
+func sameServices(a, b []place.Service) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (h *homes) place(view *member.View, services []place.Service, largest int, before *placement) *placement {
+	next := &placement{of: view, services: services}
+	chosen := entry.Homes(view, h.zones(), largest)
+	if len(chosen) == 0 {
+		return next
+	}
+	next.address = make(map[ident.HostID]string, len(chosen))
+	for i := range chosen {
+		next.hosts = append(next.hosts, chosen[i].ID)
+		next.address[chosen[i].ID] = chosen[i].PeerAddress
+		chosen[i].Region = "" // zones' names are unique across regions
+	}
+	slices.Sort(next.hosts)
+	if before != nil && before.homes != nil && slices.Equal(before.hosts, next.hosts) && sameServices(before.services, services) {
+		next.homes = before.homes
+		return next
+	}
+	next.homes = place.New(&member.View{Hosts: chosen}, services)
+	if before == nil || !slices.Equal(before.hosts, next.hosts) {
+		h.log.Info("services shared between homes", zap.Int("services", len(services)), zap.Any("homes", next.hosts))
+	}
+	return next
+}
+
+// remoteHome runs legs at the home of their service on another host.
+type remoteHome struct {
+	links   *exchange.Client
+	address string
+	told    *toldForecasts
+}
+
+// Run implements leg.Runner.
+func (r remoteHome) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
+	return r.links.To(r.address).Run(request, func(ended leg.Result) {
+		if ended.Forecast != nil {
+			r.told.note(request.Service, request.Class, *ended.Forecast)
+		}
+		if ended.Cut && ended.Reply != nil {
+			ended.Reply.Rest = restAt(r.links, r.address, request)
+		}
+		done(ended)
+	})
+}
+
+const (
+	// toldFor is how long the word of another host on a service counts: searches ask
+	// each service several times in it while there is work, and one that is refused by
+	// it is followed within it by one that finds out anew.
+	toldFor = 500 * time.Millisecond
+)
+
+// toldForecasts are what other homes have said of their services. It is safe for
+// concurrent use.
+type toldForecasts struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	told   map[toldKey]told
+	silent map[string]time.Time // when a service was last said to be silent
+}
+
+type toldKey struct{ service, class string }
+
+type told struct {
+	forecast leg.Forecast
+	at       time.Time
+}
+
+func newToldForecasts(now func() time.Time) *toldForecasts {
+	return &toldForecasts{now: now, told: make(map[toldKey]told), silent: make(map[string]time.Time)}
+}
+
+func (t *toldForecasts) note(service, class string, forecast leg.Forecast) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.told[toldKey{service, class}] = told{forecast, t.now()}
+	delete(t.silent, service)
+}
+
+func (t *toldForecasts) noteSilent(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[service] = t.now()
+}
+
+// forecast is what was told of the service, less the wait that has passed since; the
+// zero Forecast: nothing of late.
+func (t *toldForecasts) forecast(service, class string) leg.Forecast {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	if at, said := t.silent[service]; said && now.Sub(at) <= toldFor {
+		return leg.Forecast{Silent: true}
+	}
+	said, known := t.told[toldKey{service, class}]
+	if !known || now.Sub(said.at) > toldFor {
+		return leg.Forecast{}
+	}
+	said.forecast.Wait = max(0, said.forecast.Wait-now.Sub(said.at))
+	return said.forecast
+}
 
-// Forecast implements scatter.Homes. Of homes elsewhere nothing is known.
-func (h localHomes) Forecast(service, class string) leg.Forecast {
-	return h.local.Forecast(service, class)
+// forget drops what was told of services that are no longer configured.
+func (t *toldForecasts) forget(configured func(service string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.told {
+		if !configured(key.service) {
+			delete(t.told, key)
+		}
+	}
+	for service := range t.silent {
+		if !configured(service) {
+			delete(t.silent, service)
+		}
+	}
 }
 
 // noWatcher is a homeserver.Watcher that suspects no request.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -31,6 +31,8 @@
 	Relay       *discover.Relay
 	Peers       *peer.Server
 	FarServer   *farServer
+	HomeLegs    *homeLegs
+	Told        *toldForecasts
 }
 
 // build wires the parts in one place; the container orders the constructors.
@@ -49,6 +51,8 @@
 			return newFarServer(loggedRunner{g.options.Backends, g.log, g.options.Now})
 		},
 		g.newHomes,
+		newHomeLegs,
+		func() *toldForecasts { return newToldForecasts(g.options.Now) },
 		g.newCoordinator,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -59,6 +63,7 @@
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
 		g.coordinator, g.relay = b.Coordinator, b.Relay
 		g.peers, g.farServer = b.Peers, b.FarServer
+		g.homeLegs, g.toldForecasts = b.HomeLegs, b.Told
 	})
 	if err != nil {
 		return err
@@ -66,7 +71,9 @@
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	if err := exchange.NewServer(g.farServer, g.options.Now).Register(g.peers.Mux()); err != nil {
+	legs := exchange.NewServer(peerLegs{far: g.farServer, homes: g.homeLegs}, g.options.Now)
+	legs.Forecast = g.homes.Forecast
+	if err := legs.Register(g.peers.Mux()); err != nil {
 		return err
 	}
 	g.configs = g.newFollower(g.options.ConfigKey, nil, g.applyConfigs)
@@ -123,9 +130,15 @@
 	}
 }
 
-func (g *Gateway) newCoordinator(homes *homeserver.Server, counters *observe.Metrics) *scatter.Coordinator {
-	local := localHomes{self: ident.HostID(g.options.Name), local: homes}
-	return scatter.NewCoordinator(local, counters, g.options.Now, func(string, string, []snapshot.Version) {})
+func (g *Gateway) newCoordinator(local *homeserver.Server, members *member.Agent, pool *peer.Pool, told *toldForecasts, counters *observe.Metrics) *scatter.Coordinator {
+	links := exchange.NewClient(g.live, pool, ident.HostID(g.options.Name), members.Incarnation(), g.options.Now)
+	links.Silence = farSilence
+	links.OnSilent = told.noteSilent
+	shared := &homes{
+		self: ident.HostID(g.options.Name), local: local, view: members.View, zones: g.serversByZone, split: g.sharedServices,
+		links: links, told: told, log: g.log,
+	}
+	return scatter.NewCoordinator(shared, counters, g.options.Now, func(string, string, []snapshot.Version) {})
 }
 
 const (
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -89,6 +89,7 @@
 		}
 	}
 	g.zones.Store(&zones)
+	g.split.Store(g.inForce.Load().splitServices(*servers))
 }
 
 // decodeServer decodes an entry if it has changed, and writes a line about it.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -21,5 +21,5 @@
 	if err := g.members.Leave(ctx); err != nil {
 		g.log.Warn("peers were not told of the stop", observe.Reason(err))
 	}
-	stop.Wait(live, g.options.Now, func() int { return int(g.inFlight.Load()) }, g.log)
+	stop.Wait(live, g.options.Now, func() int { return int(g.inFlight.Load() + g.homeLegs.open.Load()) }, g.log)
 }
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -75,6 +75,8 @@
 	Attempt *backend.Attempt
 	// Cut: Body holds only the greatest records.
 	Cut bool
+	// Forecast is how the next leg would fare at the home; nil: it did not say.
+	Forecast *Forecast
 }
 
 // Forecast says how a leg that is sent now would fare at its service.
