--- a/forward/forward.go
+++ b/forward/forward.go
@@ -31,12 +31,26 @@
 	Services int
 }
 
+// restRate bounds the answers, of all, of which a part has more records than
+// MostPerPart: fetching its rest takes a way to the host that cut it, and back.
+const restRate = 0.015
+
 // MostPerPart is how many records of one part the merged answer will hardly ever
-// need more of: the mean and four standard deviations of a part's share.
+// need more of. Each of the greatest records is in any of the parts alike, so that a
+// part's number of them follows Poisson's law; over 180 parts some of them is far from
+// its mean in most answers.
 func (m Merge) MostPerPart() int {
-	share := float64(m.Greatest) / float64(max(m.Services, 1))
-	const deviations = 4
-	return min(m.Greatest, int(math.Ceil(share+deviations*math.Sqrt(share))))
+	services := float64(max(m.Services, 1))
+	mean := float64(m.Greatest) / services
+	exactly := math.Exp(-mean) // the chance of so many
+	more := 1 - exactly        // and of more
+	most := 0
+	for most < m.Greatest && services*more > restRate {
+		most++
+		exactly *= mean / float64(most)
+		more -= exactly
+	}
+	return most
 }
 
 // Reply is a backend server's whole reply.
--- a/gateway/merge.go
+++ b/gateway/merge.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"sync"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -25,8 +24,9 @@
 // fetched, or the answer does without the part and says so.
 func merge(ctx context.Context, r *route.Route, answer *scatter.Answer) *Merged {
 	parts := answer.Parts
+	least := max(scatter.LeastParts(r.LeastShare, answer.Total), 1)
 	for {
-		if len(parts) < max(scatter.LeastParts(r.LeastShare, answer.Total), 1) {
+		if len(parts) < least {
 			return tooFew(answer)
 		}
 		records := scatter.Greatest(bodiesOf(parts), recordSize, r.Greatest)
@@ -40,7 +40,7 @@
 		if open == 0 {
 			return merged(answer, parts, records)
 		}
-		parts = append(fetchRest(ctx, parts[:open]), parts[open:]...)
+		parts = append(fetchRests(ctx, parts[:open], least-(len(parts)-open)), parts[open:]...)
 	}
 }
 
@@ -84,29 +84,47 @@
 	return bytes.Compare(least, records[len(records)-recordSize:]) > 0
 }
 
-// fetchRest fetches the whole parts, at once, and returns those that were had.
-func fetchRest(ctx context.Context, parts []scatter.Part) []scatter.Part {
-	ctx, cancel := context.WithTimeout(ctx, restWait)
+// fetchRests fetches the whole parts, all at once, and returns those that were had: at
+// restWait, or later when they are as many as the answer needs.
+//
+// Failure: an answer has just the least parts that its route allows, one of them is
+// cut, and the host that cut it is busy for longer than restWait. It shows as a failed
+// search whose parts were all there. The guard holds because such an answer waits for
+// as long as its caller does.
+func fetchRests(ctx context.Context, parts []scatter.Part, needed int) []scatter.Part {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	whole := make([][]byte, len(parts))
-	var work sync.WaitGroup
+	fetched := make(chan scatter.Part, len(parts))
 	for i := range parts {
-		work.Go(func() {
-			if body, err := parts[i].Reply.Rest(ctx); err == nil {
-				whole[i] = body // a part that is not had is left out and counted as missing
-			}
-		})
+		go func() { fetched <- wholePart(ctx, parts[i]) }()
 	}
-	work.Wait()
+	timer := time.NewTimer(restWait)
+	defer timer.Stop()
 	var had []scatter.Part
-	for i, part := range parts {
-		if whole[i] == nil {
-			continue
+	waited := false
+	for open := len(parts); open > 0 && (!waited || len(had) < needed); {
+		select {
+		case part := <-fetched:
+			open--
+			if part.Reply != nil {
+				had = append(had, part)
+			}
+		case <-timer.C:
+			waited = true
 		}
-		reply := *part.Reply
-		reply.Rest = nil
-		part.Body, part.Reply = whole[i], &reply
-		had = append(had, part)
 	}
 	return had
 }
+
+// wholePart is the part with all its records; without a reply: they were not had, and
+// the part is left out of the answer and counted as missing.
+func wholePart(ctx context.Context, part scatter.Part) scatter.Part {
+	body, err := part.Reply.Rest(ctx)
+	if err != nil {
+		return scatter.Part{}
+	}
+	reply := *part.Reply
+	reply.Rest = nil
+	part.Body, part.Reply = body, &reply
+	return part
+}
--- a/gateway/merge_test.go
+++ b/gateway/merge_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -128,3 +130,47 @@
 	is.True(m != nil)
 	is.Equal(m.Missing, 9)
 }
+
+// A trainee's search ends at its target with just the parts that its route asks for.
+// Of one the greatest records came only, and the host that has the others is busy for
+// 60 ms. The search failed though all its parts were had; it must come, if late.
+func TestAnswerThatCantDoWithoutACutPartWaitsForIt(t *testing.T) {
+	is := is.New(t)
+	body := drawnPart(rand.New(rand.NewPCG(5, 6)), 6)
+	slow := func(ctx context.Context) ([]byte, error) {
+		select {
+		case <-time.After(3 * restWait):
+			return body, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	answer := &scatter.Answer{Code: result.Partial, Total: 2, Parts: []scatter.Part{
+		{Body: body[:recordSize], Reply: &forward.Reply{Signature: "a", Rest: slow}},
+	}}
+	m := merge(t.Context(), &route.Route{Greatest: 5, LeastShare: 0.5}, answer)
+	is.True(m != nil)
+	is.Equal(len(m.Signatures), 1)
+	is.True(bytes.Equal(m.Records, scatter.Greatest([][]byte{body}, recordSize, 5)))
+}
+
+// Over 180 shards the greatest five records are hardly ever two of one part; but of
+// 180 parts one has two of them in one answer of sixteen, and its rest had to be
+// fetched, from a host that was busy.
+func TestPartsOfManyAreSeldomFetchedAgain(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(7, 8))
+	for _, m := range []forward.Merge{{Greatest: 5, Services: 180}, {Greatest: 20, Services: 180}, {Greatest: 20, Services: 270}} {
+		short, answers := 0, 2000
+		for range answers {
+			of := make([]int, m.Services)
+			for range m.Greatest {
+				of[rnd.IntN(m.Services)]++
+			}
+			if slices.Max(of) > m.MostPerPart() {
+				short++
+			}
+		}
+		is.True(short < answers/50)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -119,7 +119,10 @@
 }
 
 func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
-	answer := g.coordinator.Run(ctx, g.work(c, r, service, q))
+	work := g.work(c, r, service, q)
+	answer := g.coordinator.Run(ctx, work)
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
 	out := encode(ctx, r, answer)
 	took := g.options.Now().Sub(q.Arrived)
 	class := className(r) // the host name stands for the caller, who is not named here
