--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,6 @@
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/peer"
 	"github.com/goldcrestspan/goldcrestspan/route"
-	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
 // Decoder reads the values of the store.
@@ -92,7 +91,7 @@
 	metrics       *observe.Metrics
 	members       *member.Agent
 	homes         *homeserver.Server
-	coordinator   *scatter.Coordinator
+	coordinators  coordinators
 	relay         *discover.Relay
 	configs       *discover.Follower
 	servers       *discover.Follower
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -68,13 +68,33 @@
 // Runner implements scatter.Homes.
 func (h *homes) Runner(host ident.HostID) (leg.Runner, bool) {
 	if host == h.self {
-		return h.local, true
+		return takenOver{h}, true
 	}
 	address, known := h.current().address[host]
 	if !known {
 		return nil, false
 	}
-	return remoteHome{links: h.links, address: address, told: h.told}, true
+	return remoteHome{links: h.links, address: address, told: h.told, own: takenOver{h}}, true
+}
+
+// takenOver runs legs at this host, and those whose home was lost where the home most
+// likely sent them.
+//
+// Failure: a home dies with a leg that it has sent to one server, or to two, since the
+// first was slow. The route allows two servers, the root can't know how many had it,
+// and a third begins the same work. The guard holds because a home sends a leg to the
+// server of its own zone first, so that the leg goes there again and nowhere else.
+type takenOver struct{ homes *homes }
+
+// Run implements leg.Runner.
+func (t takenOver) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
+	if request.After != "" {
+		request.MaxServers = 1
+		if host, known := t.homes.view().Find(request.After); known {
+			request.Only = t.homes.local.Near(request.Service, host.Zone)
+		}
+	}
+	return t.homes.local.Run(request, done)
 }
 
 // Forecast implements scatter.Homes.
@@ -141,10 +161,15 @@
 	links   *exchange.Client
 	address string
 	told    *toldForecasts
+	own     leg.Runner // this host's
 }
 
-// Run implements leg.Runner.
+// Run implements leg.Runner. A leg that may have run at another home stays here: see
+// takenOver.
 func (r remoteHome) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
+	if request.After != "" {
+		return r.own.Run(request, done)
+	}
 	return r.links.To(r.address).Run(request, func(ended leg.Result) {
 		if ended.Forecast != nil {
 			r.told.note(request.Service, request.Class, *ended.Forecast)
@@ -230,6 +255,24 @@
 	}
 }
 
+// localHomes makes this host the home of every service, for plain routes: a request to
+// one service may run once only, and its whole reply goes back.
+type localHomes struct {
+	self  ident.HostID
+	local *homeserver.Server
+}
+
+// Of implements scatter.Homes.
+func (h localHomes) Of(string) (first, second ident.HostID) { return h.self, "" }
+
+// Runner implements scatter.Homes.
+func (h localHomes) Runner(ident.HostID) (leg.Runner, bool) { return h.local, true }
+
+// Forecast implements scatter.Homes.
+func (h localHomes) Forecast(service, class string) leg.Forecast {
+	return h.local.Forecast(service, class)
+}
+
 // noWatcher is a homeserver.Watcher that suspects no request.
 type noWatcher struct{}
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -24,15 +24,15 @@
 type built struct {
 	dig.In
 
-	Metrics     *observe.Metrics
-	Members     *member.Agent
-	Homes       *homeserver.Server
-	Coordinator *scatter.Coordinator
-	Relay       *discover.Relay
-	Peers       *peer.Server
-	FarServer   *farServer
-	HomeLegs    *homeLegs
-	Told        *toldForecasts
+	Metrics      *observe.Metrics
+	Members      *member.Agent
+	Homes        *homeserver.Server
+	Coordinators coordinators
+	Relay        *discover.Relay
+	Peers        *peer.Server
+	FarServer    *farServer
+	HomeLegs     *homeLegs
+	Told         *toldForecasts
 }
 
 // build wires the parts in one place; the container orders the constructors.
@@ -53,7 +53,7 @@
 		g.newHomes,
 		newHomeLegs,
 		func() *toldForecasts { return newToldForecasts(g.options.Now) },
-		g.newCoordinator,
+		g.newCoordinators,
 	} {
 		if err := container.Provide(constructor); err != nil {
 			return err
@@ -61,7 +61,7 @@
 	}
 	err := container.Invoke(func(b built) {
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
-		g.coordinator, g.relay = b.Coordinator, b.Relay
+		g.coordinators, g.relay = b.Coordinators, b.Relay
 		g.peers, g.farServer = b.Peers, b.FarServer
 		g.homeLegs, g.toldForecasts = b.HomeLegs, b.Told
 	})
@@ -130,7 +130,7 @@
 	}
 }
 
-func (g *Gateway) newCoordinator(local *homeserver.Server, members *member.Agent, pool *peer.Pool, told *toldForecasts, counters *observe.Metrics) *scatter.Coordinator {
+func (g *Gateway) newCoordinators(local *homeserver.Server, members *member.Agent, pool *peer.Pool, told *toldForecasts, counters *observe.Metrics) coordinators {
 	links := exchange.NewClient(g.live, pool, ident.HostID(g.options.Name), members.Incarnation(), g.options.Now)
 	links.Silence = farSilence
 	links.OnSilent = told.noteSilent
@@ -138,7 +138,25 @@
 		self: ident.HostID(g.options.Name), local: local, view: members.View, zones: g.serversByZone, split: g.sharedServices,
 		links: links, told: told, log: g.log,
 	}
-	return scatter.NewCoordinator(shared, counters, g.options.Now, func(string, string, []snapshot.Version) {})
+	learn := func(string, string, []snapshot.Version) {}
+	return coordinators{
+		plain:  scatter.NewCoordinator(localHomes{self: shared.self, local: local}, counters, g.options.Now, learn),
+		shared: scatter.NewCoordinator(shared, counters, g.options.Now, learn),
+	}
+}
+
+// coordinators run requests: those at this host's homes alone, and searches whose
+// services hosts share.
+type coordinators struct {
+	plain, shared *scatter.Coordinator
+}
+
+// of chooses the coordinator for a request.
+func (c coordinators) of(work *scatter.Work) *scatter.Coordinator {
+	if work.Forward.Merge == nil || len(work.Body) > mostFarBody {
+		return c.plain
+	}
+	return c.shared
 }
 
 const (
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -120,7 +120,7 @@
 
 func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
 	work := g.work(c, r, service, q)
-	answer := g.coordinator.Run(ctx, work)
+	answer := g.coordinators.of(&work).Run(ctx, work)
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	out := encode(ctx, r, answer)
--- a/home/home.go
+++ b/home/home.go
@@ -37,6 +37,8 @@
 	Optional bool
 	// MaxServers bounds the servers that may run the leg; 0: no bound.
 	MaxServers int
+	// Only names the one server that may run the leg; empty: any.
+	Only string
 	// Forwarded requests are tried again on another server also after one that
 	// ran them has failed, if they are idempotent.
 	Forwarded bool
--- a/home/leg.go
+++ b/home/leg.go
@@ -81,9 +81,12 @@
 	return l.MaxServers - l.exposed - l.runningCount()
 }
 
-// avoids reports whether the leg must or should not go to the server: one
-// that runs it already, or the one that failed it while there are others.
+// avoids reports whether the leg must or should not go to the server: one that is
+// not for it, one that runs it already, or the one that failed it while there are others.
 func (l *leg) avoids(s *server, usable int) bool {
+	if l.Only != "" && l.Only != s.spec.Name {
+		return true
+	}
 	for _, a := range l.attempts {
 		if a != nil && a.server == s {
 			return true
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -257,6 +257,20 @@
 	return svc.forecast(position)
 }
 
+// Near returns the name of the service's server in the availability zone, the first by
+// name; empty: there is none in service.
+func (s *Server) Near(service, zone string) string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	near := ""
+	for _, k := range s.known[service] {
+		if k.Server.Zone == zone && !k.Leaving && (near == "" || k.Server.Name < near) {
+			near = k.Server.Name
+		}
+	}
+	return near
+}
+
 // Open counts the legs that are under way at this host's homes.
 func (s *Server) Open() int {
 	s.mu.RLock()
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -80,6 +80,7 @@
 			Due:         request.Due,
 			Optional:    request.Optional,
 			MaxServers:  request.MaxServers,
+			Only:        request.Only,
 			Forwarded:   request.Forward != nil,
 		}, acts)
 	})
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -36,6 +36,10 @@
 	MaxServers int
 	// Forward is set for a request that is passed on as its caller sent it.
 	Forward *forward.Request
+	// After is a home that was lost with the leg, which may have run there; empty: none.
+	After ident.HostID
+	// Only names the one server that the home may send the leg to; empty: any.
+	Only string
 	// Server names the one backend server to run the leg at; empty: the home of
 	// Service chooses one.
 	Server string
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -188,6 +188,9 @@
 
 func (r *run) send(i int, host ident.HostID) {
 	request := r.request(i)
+	if r.maybe[i] {
+		request.After = r.sentTo[i]
+	}
 	r.sentTo[i] = host
 	runner, ok := r.c.homes.Runner(host)
 	if !ok {
