--- a/home/learn.go
+++ b/home/learn.go
@@ -25,6 +25,7 @@
 	case answers(end):
 		h.lastGood, s.answeredAt = now, now
 		s.answered(now)
+		s.failing.note(now, false)
 		h.observe(now, a, true)
 	case end.Fault == backend.FaultDraining:
 		s.draining = true
@@ -100,6 +101,7 @@
 // can't empty the service; the others only pause.
 func (h *Home) observeFault(now time.Time, a *attempt, end End) {
 	s := a.server
+	s.failing.note(now, true)
 	if end.Fault == backend.FaultDeadline || end.Fault == backend.FaultSilent {
 		s.times[a.leg.Class].observe(now, now.Sub(a.started), false)
 	}
--- a/home/place.go
+++ b/home/place.go
@@ -7,6 +7,10 @@
 	// back at 0.5 ms. It decides between servers that are equal otherwise, and
 	// gives way as soon as the near server has more to do.
 	zoneCost = 0.001
+	// faultCost is what a lost answer counts for, in seconds of finish time. A leg may
+	// run on two servers: each lost answer costs it one, and the part is missing for
+	// good when both lose it. A server that loses one in six gives way to a far one.
+	faultCost = 0.1
 	// slowFactor: a free server is passed over for a busy one only when its
 	// requests take this many times longer. Below it the difference may be
 	// chance, and an idle slot is the greater loss.
@@ -59,6 +63,10 @@
 // freeFinish is the expected finish on a server with a free slot. Requests that
 // run there, this home's or reported ones, count for a part of one: they slow
 // it down.
+//
+// Load: half of the servers of every service lose two in five of their answers for
+// seconds. Harm prevented: the near server loses the first, the far one is left for
+// one more attempt, and of 270 parts more than a search may lack are lost twice.
 func (h *Home) freeFinish(s *server, expected float64, limit int, now time.Time) float64 {
 	busy := float64(len(s.running))/float64(limit) + s.othersShare(now)
 	finish := expected * (1 + busy/2)
@@ -68,7 +76,7 @@
 	if !s.spec.SameZone {
 		finish += h.cfg.ZoneCost
 	}
-	return finish
+	return finish + faultCost*s.failing.share(now)
 }
 
 // prior is the mean service time of the class over all servers, in seconds.
--- a/home/refusing.go
+++ b/home/refusing.go
@@ -16,30 +16,35 @@
 	// mostRefusalShare keeps a server that refuses nearly all from being taken for
 	// one that never answers: its pauses see to that.
 	mostRefusalShare = 0.8
+	// faultWeight is refusalWeight for lost and failed answers: each costs its leg
+	// more than a refusal, so that a few are heeded.
+	faultWeight = 0.15
 )
 
-// refusing is the share of the latest attempts that a server has refused.
-type refusing struct {
+// recentShare is the share of a server's latest attempts that ended in one way: in a
+// refusal, or without their answer.
+type recentShare struct {
+	weight float64 // of the newest
 	latest float64
 	at     time.Time // of the last attempt's end
 }
 
-func (r *refusing) note(now time.Time, refused bool) {
+func (r *recentShare) note(now time.Time, ended bool) {
 	r.latest = r.decayed(now)
-	if refused {
-		r.latest += refusalWeight
+	if ended {
+		r.latest += r.weight
 	}
 	r.at = now
 }
 
 // share is from 0 to mostRefusalShare.
-func (r *refusing) share(now time.Time) float64 { return min(r.decayed(now), mostRefusalShare) }
+func (r *recentShare) share(now time.Time) float64 { return min(r.decayed(now), mostRefusalShare) }
 
-// decayed is the share as if the next attempt were answered.
-func (r *refusing) decayed(now time.Time) float64 {
+// decayed is the share as if the next attempt ended otherwise.
+func (r *recentShare) decayed(now time.Time) float64 {
 	if r.latest == 0 {
 		return 0
 	}
 	idle := now.Sub(r.at).Seconds() / refusalHalfLife.Seconds()
-	return (1 - refusalWeight) * r.latest * math.Exp2(-max(idle, 0))
+	return (1 - r.weight) * r.latest * math.Exp2(-max(idle, 0))
 }
--- a/home/server.go
+++ b/home/server.go
@@ -41,7 +41,8 @@
 	refusals     int // in a row
 	shared       int // slots that seem to be this home's; 0: all
 	regain       int // answers since shared changed
-	refusing     refusing
+	refusing     recentShare
+	failing      recentShare
 	pausedUntil  time.Time
 	faults       int // in a row
 	ejections    int // in a row
@@ -66,6 +67,8 @@
 
 		warmAfter:   cfg.WarmAfter,
 		sharesSlots: cfg.ShareSlots,
+		refusing:    recentShare{weight: refusalWeight},
+		failing:     recentShare{weight: faultWeight},
 
 		ahead: ahead{nextProbe: now.Add(firstProbe)},
 	}
