--- a/gateway/config.go
+++ b/gateway/config.go
@@ -43,12 +43,11 @@
 )
 
 // Budget bounds the arrivals at a service beyond the first of each request,
-// summed over all hosts in any window of some seconds. The length of the window
-// does not matter here: what a host may add to its ratio is its part of Slack,
-// however long it waits.
+// summed over all hosts in any window.
 type Budget struct {
-	Ratio float64 // of the requests for the service
-	Slack float64 // arrivals, whatever the load
+	Ratio  float64       // of the requests for the service
+	Slack  float64       // arrivals, whatever the load
+	Window time.Duration // 0: not known, and Slack is used once
 }
 
 // configuration is one version in the form that requests are served from. It
@@ -160,16 +159,27 @@
 	return fmt.Sprintf("p%d-%v", r.Priority, r.Target)
 }
 
+// slackByTime is the part of a host's slack that is earned anew in each window; the
+// rest may be used at once. In a window no more than both are.
+const slackByTime = 0.4
+
 // tune shares the budget of extra arrivals out: each host earns its own
 // requests' part, and the slack is divided by the hosts that may be advised at
 // once while their views differ.
 func (b Budget) tune(hosts int) func(*home.Config) {
 	slack := b.Slack / float64(max(hosts, 1))
+	rate := 0.0
+	if b.Window > 0 {
+		rate = slackByTime * slack / b.Window.Seconds()
+		slack *= 1 - slackByTime
+	}
 	return func(config *home.Config) {
 		config.HedgeBudget = hedgePart * b.Ratio
 		config.RetryBudget = retryPart * b.Ratio
 		config.HedgeBurst = max(1, hedgePart*slack)
 		config.RetryBurst = max(1, retryPart*slack)
+		config.HedgeRate = hedgePart * rate
+		config.RetryRate = retryPart * rate
 		config.ChargeRefusals = true
 		config.WarmAfter = warmAfter
 		config.ShareSlots = true
--- a/gateway/config_test.go
+++ b/gateway/config_test.go
@@ -25,6 +25,23 @@
 	}
 }
 
+// The operator of a large deployment allows 630 extra arrivals at a service in any 10 s.
+// Of what a host hands out at once and what it earns in the window the sum must stay
+// within the bound over all hosts, and most of it must be there to be used.
+func TestSlackOfAWindowIsUsedAndKept(t *testing.T) {
+	is := is.New(t)
+	budget := Budget{Ratio: 0.2, Slack: 630, Window: 10 * time.Second}
+	for hosts := leastSharing; hosts <= 3*leastSharing; hosts++ {
+		var config home.Config
+		budget.tune(hosts)(&config)
+		burst := config.HedgeBurst + config.RetryBurst
+		earned := (config.HedgeRate + config.RetryRate) * budget.Window.Seconds()
+		is.True(float64(hosts)*(burst+earned) <= budget.Slack)
+		is.True(float64(hosts)*(burst+earned) >= 0.8*budget.Slack)
+		is.True(earned > 0)
+	}
+}
+
 func testRoute(name string, timeout time.Duration) route.Route {
 	return route.Route{
 		Name: name, Host: "x", Prefix: "/" + name + "/", Timeout: timeout, Target: time.Second, Priority: 1,
--- a/gateway/tuning.go
+++ b/gateway/tuning.go
@@ -29,7 +29,7 @@
 	if next.Budget != before.Budget {
 		g.homes.Retune()
 	}
-	g.log.Info("limits changed", zap.Float64("extra_ratio", next.Budget.Ratio), zap.Float64("extra_slack", next.Budget.Slack),
+	g.log.Info("limits changed", zap.Float64("extra_ratio", next.Budget.Ratio), zap.Float64("extra_slack", next.Budget.Slack), zap.Duration("extra_window", next.Budget.Window),
 		zap.Int64("body_bytes", next.BodyBytes), zap.Duration("stop_within", next.StopWithin),
 		zap.Float64("processor", next.Processor), zap.Strings("seeds", next.Seeds))
 }
@@ -40,7 +40,11 @@
 
 // tuneHome puts the limits in force into a home's configuration.
 func (g *Gateway) tuneHome(config *home.Config) {
-	g.tuning.Load().Budget.tune(int(g.sharing.Load()))(config)
+	hosts := int(g.sharing.Load())
+	if c := g.inForce.Load(); c != nil && c.split[config.Service] {
+		hosts = leastSharing // its home, those before it, and roots that have lost it
+	}
+	g.tuning.Load().Budget.tune(hosts)(config)
 	g.setHedgeAges(config.Classes)
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -115,6 +115,8 @@
 	// HedgeBurst and RetryBurst are how many hedges and retries may be sent
 	// beyond the budgets' rates; 0: hedgeBurst and retryBurst.
 	HedgeBurst, RetryBurst float64
+	// HedgeRate and RetryRate are how many may be sent a second whatever the load.
+	HedgeRate, RetryRate float64
 	// ChargeRefusals makes an attempt after a refusal cost a retry: for
 	// services whose operator counts each arrival beyond the first.
 	ChargeRefusals bool
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -20,6 +20,7 @@
 	h.hedgeBudget.Set(cfg.HedgeBudget, cfg.HedgeBurst)
 	h.retryBudget.Set(cfg.RetryBudget, cfg.RetryBurst)
 	h.cfg = cfg
+	h.setRates()
 	return h.dispatch(now, acts)
 }
 
--- a/home/state.go
+++ b/home/state.go
@@ -69,12 +69,18 @@
 		hedgeBudget: retry.NewEmptyBudget(cfg.HedgeBudget, cfg.HedgeBurst),
 		retryBudget: retry.NewBudget(cfg.RetryBudget, cfg.RetryBurst),
 	}
+	h.setRates()
 	for i := range h.classes {
 		h.classes[i] = class{spec: cfg.Classes[i], index: i, shared: cfg.Shared.class(cfg.Classes[i].Name)}
 	}
 	return h
 }
 
+func (h *Home) setRates() {
+	h.hedgeBudget.SetRate(h.cfg.HedgeRate)
+	h.retryBudget.SetRate(h.cfg.RetryRate)
+}
+
 // SetServers replaces the known backend servers of the service. A server with
 // a new incarnation starts afresh.
 func (h *Home) SetServers(now time.Time, specs []ServerSpec, acts []Action) []Action {
@@ -116,6 +122,8 @@
 	if code, ok := h.admits(c, l, now); !ok {
 		return append(acts, Action{Kind: ActionFail, Leg: in.ID, Code: code, Outcome: l.worst, RetryAfter: h.retryAfter(now, 0)})
 	}
+	h.hedgeBudget.Pass(now)
+	h.retryBudget.Pass(now)
 	h.hedgeBudget.Earn()
 	h.retryBudget.Earn()
 	h.legs[in.ID] = l
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -3,8 +3,11 @@
 // ones, so the extra load stays a fixed share of the load whatever fails.
 package retry
 
-// Budget is a token bucket that is filled by work, not by time. The zero value
-// allows nothing. It is not safe for concurrent use.
+import "time"
+
+// Budget is a token bucket that is filled by work, and by time where a limit allows so
+// many extra attempts in any span. The zero value allows nothing. It is not safe for
+// concurrent use.
 //
 // Load: a service of which every backend server refuses or is slow. Harm
 // prevented: each refusal calls for another attempt, and the attempts keep the
@@ -15,6 +18,9 @@
 	ratio  float64
 	burst  float64
 	tokens float64
+	// perSecond is what is earned without work; passed is until when it was earned.
+	perSecond float64
+	passed    time.Time
 }
 
 // NewBudget makes a budget that earns ratio tokens for each first attempt and
@@ -39,12 +45,30 @@
 func (b *Budget) Set(ratio, burst float64) {
 	next := NewBudget(ratio, burst)
 	next.tokens = min(b.tokens, next.burst)
+	next.perSecond, next.passed = b.perSecond, b.passed
 	*b = next
 }
 
 // Earn counts one first attempt.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
+// SetRate sets what is earned by time, in attempts a second.
+//
+// Load: a service that is asked a few times a second, whose operator allows hundreds
+// of extra attempts in any ten seconds. Harm prevented: a budget of work alone hands
+// the allowance out once, and then a few attempts a second, while most of it stays
+// unused and stragglers are waited for. In any span a bucket gives no more than its
+// burst and what is earned meanwhile, so that the two together keep the limit.
+func (b *Budget) SetRate(perSecond float64) { b.perSecond = perSecond }
+
+// Pass earns what the time since the last call is worth.
+func (b *Budget) Pass(now time.Time) {
+	if !b.passed.IsZero() && now.After(b.passed) {
+		b.tokens = min(b.tokens+b.perSecond*now.Sub(b.passed).Seconds(), b.burst)
+	}
+	b.passed = now
+}
+
 // Allows reports whether one extra attempt could be paid.
 func (b *Budget) Allows() bool { return b.tokens >= 1 }
 
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -23,6 +24,36 @@
 	is.True(retries >= 1000)
 }
 
+// A service is asked twice a second, and stragglers come in spells. In any ten seconds
+// no more extra attempts may go out than the burst and ten seconds' earnings, and
+// after a quiet spell the burst must be there again.
+func TestBudgetEarnsByTimeAndKeepsItsWindow(t *testing.T) {
+	is := is.New(t)
+	const burst, perSecond = 40, 3
+	b := NewEmptyBudget(0.12, burst)
+	b.SetRate(perSecond)
+	now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	var spent []time.Time
+	for i := range 240 { // two minutes
+		now = now.Add(500 * time.Millisecond)
+		b.Pass(now)
+		b.Earn()
+		for i%60 > 40 && b.Spend() {
+			spent = append(spent, now)
+		}
+	}
+	is.True(len(spent) > 2*burst)
+	for i := range spent {
+		window := 0
+		for _, at := range spent[i:] {
+			if at.Sub(spent[i]) <= 10*time.Second {
+				window++
+			}
+		}
+		is.True(window <= burst+10*perSecond+21) // and those of the requests
+	}
+}
+
 func TestZeroBudgetAllowsNothing(t *testing.T) {
 	is := is.New(t)
 	var zero Budget
