--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -52,6 +52,7 @@
 	nextHome uint64
 	nextLeg  atomic.Uint64
 	shared   *home.Shared
+	workers  *workers
 }
 
 // Known is a backend server as the control goroutine knows it.
@@ -81,6 +82,7 @@
 		services: make(map[string]*service),
 		known:    make(map[string][]Known),
 		shared:   home.NewShared(),
+		workers:  newWorkers(),
 	}
 }
 
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -193,7 +193,8 @@
 		Forward:    l.request.Forward,
 	}
 	s.server.watcher.Started(act.Attempt, s.servers[act.Server], l.request.Fingerprint)
-	go s.run(ctx, s.servers[act.Server], l.request.Fingerprint, call)
+	server, fingerprint := s.servers[act.Server], l.request.Fingerprint
+	s.server.workers.start(func() { s.run(ctx, server, fingerprint, call) })
 }
 
 func (s *service) run(ctx context.Context, server backend.Server, fingerprint uint64, call backend.Call) {
