--- a/gateway/home_legs.go
+++ b/gateway/home_legs.go
@@ -6,6 +6,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/forward"
@@ -37,14 +38,19 @@
 	// open counts the legs under way: a planned stop waits for them.
 	open atomic.Int64
 	kept *lru.Cache[partKey, *forward.Reply]
+	legs prometheus.Counter
 }
 
-func newHomeLegs(local *homeserver.Server) (*homeLegs, error) {
+func newHomeLegs(local *homeserver.Server, registry *prometheus.Registry) (*homeLegs, error) {
 	kept, err := lru.New[partKey, *forward.Reply](keptParts)
 	if err != nil {
 		return nil, errors.Wrap(err, "parts kept for roots")
 	}
-	return &homeLegs{local: local, kept: kept}, nil
+	legs := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "goldcrestspan", Name: "home_legs_total",
+		Help: "Legs of other hosts' searches that this host ran as the home of their service.",
+	})
+	return &homeLegs{local: local, kept: kept, legs: legs}, registry.Register(legs)
 }
 
 // Run implements leg.Runner.
@@ -57,6 +63,7 @@
 		return s.whole(request, done)
 	}
 	s.open.Add(1)
+	s.legs.Inc()
 	return s.local.Run(request, func(ended leg.Result) {
 		s.open.Add(-1)
 		done(s.cut(request, unknownHere(ended)))
