--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -22,9 +22,10 @@
 // homes says which host is the home of each service. Services of small searches and
 // of plain routes have this host, whoever it is: few hosts carry the traffic, and
 // each knows most of what runs at the servers near it. Those of large searches are
-// shared by the hosts that entry.Homes chooses, each the one home of its services.
+// shared by the hosts that entry.Homes chooses for this host's zone.
 type homes struct {
 	self  ident.HostID
+	zone  string // availability zone of this host
 	local *homeserver.Server
 	view  func() *member.View
 	zones func() map[string]int
@@ -134,7 +135,7 @@
 
 func (h *homes) place(view *member.View, services []place.Service, largest int, before *placement) *placement {
 	next := &placement{of: view, services: services}
-	chosen := entry.Homes(view, h.zones(), largest)
+	chosen := entry.Homes(view, h.zones(), largest, h.zone)
 	if len(chosen) == 0 {
 		return next
 	}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -135,7 +135,7 @@
 	links.Silence = farSilence
 	links.OnSilent = told.noteSilent
 	shared := &homes{
-		self: ident.HostID(g.options.Name), local: local, view: members.View, zones: g.serversByZone, split: g.sharedServices,
+		self: ident.HostID(g.options.Name), zone: g.options.Zone, local: local, view: members.View, zones: g.serversByZone, split: g.sharedServices,
 		links: links, told: told, log: g.log,
 	}
 	learn := func(string, string, []snapshot.Version) {}
