--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,10 +17,12 @@
 	runner backend.Runner
 	log    *zap.Logger
 	now    func() time.Time
+	count  *atomic.Int64 // of all attempts
 }
 
 // Run implements backend.Runner.
 func (r loggedRunner) Run(ctx context.Context, server backend.Server, call backend.Call) backend.Attempt {
+	r.count.Add(1)
 	started := r.now()
 	end := r.runner.Run(ctx, server, call)
 	if end.Fault == backend.FaultNone || end.Fault == backend.FaultCancelled {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,7 @@
 	Trim(server backend.Server, keep int)
 }
 
-// Options are what a Gateway needs. All must be set but OnLoad.
+// Options are what a Gateway needs. All must be set but OnAttempts.
 type Options struct {
 	Name   string // of this host
 	Region string
@@ -58,9 +58,9 @@
 	// processor, or less where its link is the narrower.
 	Capacity uint32
 
-	// OnLoad hears which share of its processor this host uses, eased; nil: nobody
-	// does. It must not block.
-	OnLoad func(share float64)
+	// OnAttempts hears how many attempts at backend servers this host makes a second,
+	// eased; nil: nobody does. It must not block.
+	OnAttempts func(perSecond float64)
 
 	Store    metastore.Store
 	Backends Backends
@@ -112,6 +112,7 @@
 	stop     atomic.Pointer[drain.Stop]
 	inFlight atomic.Int64
 	bodies   atomic.Int64 // bytes of the bodies in flight
+	attempts atomic.Int64 // at backend servers, since the start
 	callers  callerTimes
 	told     atomic.Uint32 // this host's load as the others hear it, in thousandths
 	// serversAt is the store's revision of the newest change of the servers.
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -28,12 +28,13 @@
 }
 
 // measureLoad tells the other hosts which share of its processor this one
-// uses, in thousandths.
+// uses, in thousandths, and this host how many attempts it makes.
 func (g *Gateway) measureLoad(ctx context.Context) error {
 	ticker := time.NewTicker(loadEvery)
 	defer ticker.Stop()
 	usedBefore, at := processorTime(), g.options.Now()
-	told := 0.0
+	told, rate := 0.0, 0.0
+	madeBefore := g.attempts.Load()
 	for {
 		select {
 		case <-ticker.C:
@@ -41,14 +42,18 @@
 			return nil
 		}
 		used, now := processorTime(), g.options.Now()
-		share := max(0, (used-usedBefore).Seconds()/now.Sub(at).Seconds()/g.tuning.Load().Processor)
+		passed := now.Sub(at)
+		share := max(0, (used-usedBefore).Seconds()/passed.Seconds()/g.tuning.Load().Processor)
 		usedBefore, at = used, now
 		g.shareBudget()
 		told = easedLoad(told, share)
 		g.told.Store(uint32(1000 * told))
 		g.members.SetLoad(g.told.Load())
-		if g.options.OnLoad != nil {
-			g.options.OnLoad(told)
+		made := g.attempts.Load()
+		rate = easedLoad(rate, float64(made-madeBefore)/passed.Seconds())
+		madeBefore = made
+		if g.options.OnAttempts != nil {
+			g.options.OnAttempts(rate)
 		}
 	}
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -48,7 +48,7 @@
 		g.newMembers,
 		g.newFarRunner,
 		func() (*farServer, error) {
-			return newFarServer(loggedRunner{g.options.Backends, g.log, g.options.Now})
+			return newFarServer(loggedRunner{g.options.Backends, g.log, g.options.Now, &g.attempts})
 		},
 		g.newHomes,
 		newHomeLegs,
@@ -114,7 +114,7 @@
 }
 
 func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now}, counters, noWatcher{}, g.options.Now, g.homesConfig)
+	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now, &g.attempts}, counters, noWatcher{}, g.options.Now, g.homesConfig)
 	homes.SetObserver(g.logServer)
 	homes.SetTune(g.tuneHome)
 	return homes
