--- a/gateway/config.go
+++ b/gateway/config.go
@@ -21,8 +21,16 @@
 	// hedgePart and retryPart are the parts of the budget of extra arrivals
 	// that hedges and retries may use; the rest is headroom for hosts that
 	// count the requests of a service differently.
-	hedgePart = 0.6
+	hedgePart = 0.56
 	retryPart = 0.25
+	// hedgeStart and retryStart are the parts of what hedges and retries may use at once
+	// that a host has when it starts.
+	//
+	// Load: all hosts were killed, and start again while callers wait. Harm prevented:
+	// without hedges each of the first searches lacks its slowest parts and comes at the
+	// last moment. Limit: what the lives before have spent counts too, so that both
+	// together keep the operator's bound.
+	hedgeStart, retryStart = 0.25, 0.6
 	// zoneCost is what a hop to a server in another availability zone counts
 	// for, in seconds of finish time: the way itself is a millisecond, the rest
 	// keeps the bytes, which the users pay for, within the zone while the near
@@ -178,6 +186,7 @@
 		config.RetryBudget = retryPart * b.Ratio
 		config.HedgeBurst = max(1, hedgePart*slack)
 		config.RetryBurst = max(1, retryPart*slack)
+		config.HedgeStart, config.RetryStart = hedgeStart, retryStart
 		config.HedgeRate = hedgePart * rate
 		config.RetryRate = retryPart * rate
 		config.ChargeRefusals = true
--- a/gateway/config_test.go
+++ b/gateway/config_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// All hosts are killed and start again within one window. What the lives before have
+// spent counts with what the new ones spend: together they stay within the bound.
+func TestBudgetsOfTwoLivesStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	budget := Budget{Ratio: 0.2, Slack: 630, Window: 10 * time.Second}
+	var config home.Config
+	budget.tune(leastSharing)(&config)
+	spent := config.HedgeBurst*(1+config.HedgeStart) + config.RetryBurst*(1+config.RetryStart)
+	earned := (config.HedgeRate + config.RetryRate) * budget.Window.Seconds()
+	is.True(leastSharing*(spent+earned) <= budget.Slack)
+	is.True(config.HedgeBurst*config.HedgeStart >= 1) // and there is something to begin with
+}
+
 func testRoute(name string, timeout time.Duration) route.Route {
 	return route.Route{
 		Name: name, Host: "x", Prefix: "/" + name + "/", Timeout: timeout, Target: time.Second, Priority: 1,
--- a/home/home.go
+++ b/home/home.go
@@ -115,6 +115,9 @@
 	// HedgeBurst and RetryBurst are how many hedges and retries may be sent
 	// beyond the budgets' rates; 0: hedgeBurst and retryBurst.
 	HedgeBurst, RetryBurst float64
+	// HedgeStart and RetryStart are the parts of the bursts that are there at the start,
+	// 0 to 1.
+	HedgeStart, RetryStart float64
 	// HedgeRate and RetryRate are how many may be sent a second whatever the load.
 	HedgeRate, RetryRate float64
 	// ChargeRefusals makes an attempt after a refusal cost a retry: for
--- a/home/state.go
+++ b/home/state.go
@@ -47,6 +47,9 @@
 	if c.RetryBurst == 0 {
 		c.RetryBurst = retryBurst
 	}
+	if c.RetryStart == 0 {
+		c.RetryStart = 1 // a quiet service can retry its first refusal
+	}
 	if c.WarmAfter == 0 {
 		c.WarmAfter = warmAfter
 	}
@@ -66,8 +69,8 @@
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		nextAttempt: firstAttempt,
-		hedgeBudget: retry.NewEmptyBudget(cfg.HedgeBudget, cfg.HedgeBurst),
-		retryBudget: retry.NewBudget(cfg.RetryBudget, cfg.RetryBurst),
+		hedgeBudget: retry.NewPartBudget(cfg.HedgeBudget, cfg.HedgeBurst, cfg.HedgeStart),
+		retryBudget: retry.NewPartBudget(cfg.RetryBudget, cfg.RetryBurst, cfg.RetryStart),
 	}
 	h.setRates()
 	for i := range h.classes {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,11 +33,12 @@
 	return Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
-// NewEmptyBudget makes a budget that starts empty, for extra work that is never
-// urgent enough to run ahead of its share.
-func NewEmptyBudget(ratio, burst float64) Budget {
+// NewPartBudget makes a budget that starts with a part of its burst, 0 to 1: for extra
+// work that is not urgent enough to run far ahead of its share, and for hosts that may
+// have spent all of it just before they started again.
+func NewPartBudget(ratio, burst, part float64) Budget {
 	b := NewBudget(ratio, burst)
-	b.tokens = 0
+	b.tokens *= part
 	return b
 }
 
