--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -90,6 +90,7 @@
 // Run implements leg.Runner.
 func (t takenOver) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
 	if request.After != "" {
+		t.homes.log.Info("leg taken over from a lost home", zap.String("request", request.Forward.Attempt), zap.String("service", request.Service), zap.String("home", string(request.After)))
 		request.MaxServers = 1
 		if host, known := t.homes.view().Find(request.After); known {
 			request.Only = t.homes.local.Near(request.Service, host.Zone)
