--- a/exchange/client.go
+++ b/exchange/client.go
@@ -60,7 +60,14 @@
 	return r
 }
 
-// Doubts reports whether the peer owes replies and is silent, or can't be reached.
+// Doubts reports whether the peer owes replies and is silent, or can't be reached. A
+// peer whose link broke with legs on it is doubted until it has answered on a new one,
+// which is opened meanwhile.
+//
+// Failure: a host loses power. Its link is dropped after Dead, the next leg dials, and
+// connecting waits for as long as nobody answers. It shows as searches that lack the
+// host's part for seconds, until membership has noticed. The guard holds because no leg
+// goes to a host that was silent before it has sent a frame.
 func (c *Client) Doubts(address string) bool {
 	c.mu.Lock()
 	r := c.peers[address]
@@ -73,7 +80,14 @@
 	if r.link != nil {
 		return r.link.doubtful()
 	}
-	return c.now().Sub(r.failed) < redialAfter
+	now := c.now()
+	if r.dialing {
+		return r.suspect || now.Sub(r.dialed) >= c.Silence.Doubt
+	}
+	if r.suspect && now.Sub(r.failed) >= redialAfter {
+		r.startDial(now)
+	}
+	return r.suspect
 }
 
 // remote is one peer: its open link, or the legs that wait for it to open.
@@ -84,7 +98,9 @@
 	mu      sync.Mutex
 	link    *link
 	dialing bool
-	failed  time.Time // last failed dial
+	dialed  time.Time // when the dial under way began
+	failed  time.Time // last failed dial, or end of a link with legs on it
+	suspect bool      // since then the peer has not answered
 	waiting []*waitingLeg
 }
 
@@ -116,13 +132,18 @@
 	w := &waitingLeg{request: request, done: done}
 	r.waiting = append(r.waiting, w)
 	if !r.dialing {
-		r.dialing = true
-		go r.open()
+		r.startDial(r.client.now())
 	}
 	r.mu.Unlock()
 	return w.drop
 }
 
+// startDial opens a link in the background; the lock is held.
+func (r *remote) startDial(now time.Time) {
+	r.dialing, r.dialed = true, now
+	go r.open()
+}
+
 func (w *waitingLeg) drop() {
 	w.mu.Lock()
 	cancel := w.cancel
@@ -144,9 +165,12 @@
 	r.waiting = nil
 	r.dialing = false
 	if err != nil {
-		r.failed = r.client.now()
+		r.failed, r.suspect = r.client.now(), true
 	} else {
 		r.link = l
+		if r.suspect {
+			l.prove()
+		}
 	}
 	r.mu.Unlock()
 	for _, w := range waiting {
@@ -175,7 +199,9 @@
 }
 
 func (r *remote) dial() (*link, context.Context, error) {
-	conn, err := r.client.pool.Dial(r.client.ctx, r.address)
+	dialing, done := context.WithTimeout(r.client.ctx, r.client.Silence.Dead)
+	defer done()
+	conn, err := r.client.pool.Dial(dialing, r.address)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -198,10 +224,14 @@
 	go l.watch(ctx)
 	go l.read()
 	<-ctx.Done()
+	broken := l.close()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.link == l {
 		r.link = nil
 	}
-	r.mu.Unlock()
-	l.close()
+	r.suspect = broken
+	if broken {
+		r.failed = r.client.now()
+	}
 }
--- a/exchange/link.go
+++ b/exchange/link.go
@@ -48,6 +48,7 @@
 	heads   heads
 	heard   time.Time // last frame from the peer
 	used    time.Time // last leg added
+	proving bool      // the peer was silent before, and has sent nothing on this link
 	closed  bool
 }
 
@@ -179,7 +180,7 @@
 			return
 		}
 		l.mu.Lock()
-		l.heard = l.now()
+		l.heard, l.proving = l.now(), false
 		l.mu.Unlock()
 		if frame.GetPing() != 0 {
 			l.out.put(item{pong: frame.GetPing()})
@@ -239,8 +240,22 @@
 // doubtful reports whether the peer owes replies and has been silent for so long
 // that new legs should rather go another way.
 func (l *link) doubtful() bool {
+	l.mu.Lock()
+	proving := l.proving
+	l.mu.Unlock()
 	silent, _, open := l.ages()
-	return open && silent >= l.limits.Doubt
+	return proving || open && silent >= l.limits.Doubt
+}
+
+// firstPing is the number of the ping on a link that is to be proved.
+const firstPing = 1 << 63
+
+// prove makes the link doubtful until the peer has sent a frame, and asks for one.
+func (l *link) prove() {
+	l.mu.Lock()
+	l.proving = true
+	l.mu.Unlock()
+	l.out.put(item{ping: firstPing})
 }
 
 func (l *link) ages() (silent, unused time.Duration, open bool) {
@@ -251,10 +266,12 @@
 }
 
 // close ends every leg that is still open: those never sent surely did not
-// run, of the others nothing is known.
-func (l *link) close() {
+// run, of the others nothing is known. broken says that there were some, or that the
+// peer never answered.
+func (l *link) close() (broken bool) {
 	l.mu.Lock()
 	l.closed = true
+	broken = len(l.pending) > 0 || l.proving
 	pending := l.pending
 	l.pending = make(map[uint64]*pendingLeg)
 	l.mu.Unlock()
@@ -263,4 +280,5 @@
 	for _, p := range pending {
 		p.done(leg.Failed(p.request, result.HomeUnavailable, sentOutcome(p), "the link to the home broke"))
 	}
+	return broken
 }
