--- a/gateway/advise.go
+++ b/gateway/advise.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/goldcrestspan/goldcrestspan/entry"
-	"github.com/goldcrestspan/goldcrestspan/place"
 )
 
 // Advise names the hosts that callers should use, by the callers' address.
@@ -21,17 +20,3 @@
 	}
 	return nil
 }
-
-// splitServices are the services of the searches that are split.
-type splitServices struct {
-	services []place.Service
-	largest  int // services of the largest such search
-}
-
-// sharedServices lists the services that hosts share; see entry.Homes.
-func (g *Gateway) sharedServices() (services []place.Service, largest int) {
-	if split := g.split.Load(); split != nil {
-		return split.services, split.largest
-	}
-	return nil, 0
-}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,11 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
-	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/home"
-	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
@@ -102,34 +99,12 @@
 	return c, nil
 }
 
-func (c *configuration) noteSplit(r *route.Route) {
-	if !entry.Splits(len(r.Shards)) {
-		return
-	}
-	c.largest = max(c.largest, len(r.Shards))
-	for _, service := range r.Shards {
-		c.split[service] = true
-	}
-}
-
 // names reports whether the configuration names the service.
 func (c *configuration) names(service string) bool {
 	_, named := c.homes.Service(service)
 	return named
 }
 
-// splitServices are the services of split searches that have servers, with the
-// availability zones of these.
-func (c *configuration) splitServices(servers map[string]backend.Server) *splitServices {
-	var asked []backend.Server
-	for _, server := range servers {
-		if c.split[server.Service] {
-			asked = append(asked, server)
-		}
-	}
-	return &splitServices{services: place.Services(asked), largest: c.largest}
-}
-
 // newSnapshot numbers the services as the shards of one version.
 func newSnapshot(version uint64, services []string) *snapshot.Snapshot {
 	s := &snapshot.Snapshot{Version: snapshot.Version(version)}
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -183,12 +183,10 @@
 	})
 }
 
-const (
-	// toldFor is how long the word of another host on a service counts: searches ask
-	// each service several times in it while there is work, and one that is refused by
-	// it is followed within it by one that finds out anew.
-	toldFor = 500 * time.Millisecond
-)
+// toldFor is how long the word of another host on a service counts: searches ask
+// each service several times in it while there is work, and one that is refused by
+// it is followed within it by one that finds out anew.
+const toldFor = 500 * time.Millisecond
 
 // toldForecasts are what other homes have said of their services. It is safe for
 // concurrent use.
