--- a/backend/backend.go
+++ b/backend/backend.go
@@ -80,11 +80,12 @@
 	FaultSnapshotMismatch       // answered from another snapshot: ran, not usable
 	FaultServer                 // ran and failed
 	FaultPeerLost               // the host that passed the call on was lost: unknown
+	FaultNotAllowed             // the rules of this moment keep it from the server: unsent
 )
 
 var faultNames = [...]string{
 	"none", "unreachable", "connection_limit", "shed", "draining", "snapshot_not_held", "deadline", "cancelled",
-	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server", "peer_lost",
+	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server", "peer_lost", "not_allowed",
 }
 
 // String is the fault's name in logs.
--- a/exchange/named.go
+++ b/exchange/named.go
@@ -79,7 +79,7 @@
 
 func encodeHead(id uint32, r leg.Request, now time.Time) *exchangepb.Head {
 	f := r.Forward
-	head := &exchangepb.Head{Id: id, Method: f.Method, Target: f.Target, Host: f.Host, Attempt: f.Attempt}
+	head := &exchangepb.Head{Id: id, Method: f.Method, Target: f.Target, Host: f.Host, Attempt: f.Attempt, Regions: f.Regions}
 	for _, name := range slices.Sorted(maps.Keys(f.Header)) {
 		head.Headers = append(head.Headers, &exchangepb.Header{Name: name, Values: f.Header[name]})
 	}
@@ -91,7 +91,7 @@
 
 func decodeHead(m *exchangepb.Head) *forward.Request {
 	f := &forward.Request{
-		Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), Attempt: m.GetAttempt(),
+		Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), Attempt: m.GetAttempt(), Regions: m.GetRegions(),
 		Header: make(map[string][]string, len(m.GetHeaders())),
 	}
 	for _, h := range m.GetHeaders() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,10 @@
 	Header http.Header
 	// Merge is set where the answers of several services are merged.
 	Merge *Merge
+	// Regions are those that the operator binds the request to: no server elsewhere may
+	// run it, and no host elsewhere may see it but the one that its caller chose; empty:
+	// it is not bound.
+	Regions []string
 }
 
 // Merge says how the answers of several services become one.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -66,6 +67,8 @@
 	targets  map[string]time.Duration      // by class
 	split    map[string]bool               // services of searches that are split
 	largest  int                           // services of the largest of these
+	// warmups are the services whose servers bear little while they are cold.
+	warmups map[string]eligible.Warmup
 }
 
 func newConfiguration(revision uint64, config *route.Config) (*configuration, error) {
@@ -84,6 +87,12 @@
 		single:   make(map[string]*snapshot.Snapshot),
 		targets:  make(map[string]time.Duration),
 		split:    make(map[string]bool),
+		warmups:  make(map[string]eligible.Warmup),
+	}
+	for _, service := range config.Services {
+		if service.Warmup.Bounded() {
+			c.warmups[service.Name] = service.Warmup
+		}
 	}
 	for i := range config.Routes {
 		r := &config.Routes[i]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,9 @@
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/drain"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
+	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -50,9 +52,16 @@
 	CallerAddress string
 	// Peers is the listener of the other hosts' calls.
 	Peers net.Listener
+	// Regions is the region of each availability zone.
+	Regions map[string]string
 	// ConfigKey, ServersPrefix and HostsPrefix are where the operator's
 	// configuration, the backend servers' entries and the hosts' own stand.
 	ConfigKey, ServersPrefix, HostsPrefix string
+	// EvacuationsPrefix is where the operator names zones that are to get nothing;
+	// empty: no zone is ever evacuated.
+	EvacuationsPrefix string
+	// Warmup are the operator's bounds on what cold servers get.
+	Warmup eligible.WarmupBounds
 	Tuning
 	// Capacity is what this host can carry, in thousandths of a core: its
 	// processor, or less where its link is the narrower.
@@ -85,20 +94,22 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	options       Options
-	startedAt     time.Time
-	log           *zap.Logger
-	metrics       *observe.Metrics
-	members       *member.Agent
-	homes         *homeserver.Server
-	coordinators  coordinators
-	relay         *discover.Relay
-	configs       *discover.Follower
-	servers       *discover.Follower
-	peers         *peer.Server
-	farServer     *farServer
-	homeLegs      *homeLegs
-	toldForecasts *toldForecasts
+	options      Options
+	startedAt    time.Time
+	log          *zap.Logger
+	metrics      *observe.Metrics
+	members      *member.Agent
+	homes        *homeserver.Server
+	coordinators coordinators
+	relay        *discover.Relay
+	configs      *discover.Follower
+	servers      *discover.Follower
+	// evacuationList is nil where no zone is ever evacuated.
+	evacuationList *discover.Follower
+	peers          *peer.Server
+	farServer      *farServer
+	homeLegs       *homeLegs
+	toldForecasts  *toldForecasts
 	// live ends after the planned stop; links to peers end with it.
 	live context.Context
 	end  context.CancelFunc
@@ -123,7 +134,18 @@
 	// inService are the backend servers that don't leave, by name.
 	inService atomic.Pointer[map[string]backend.Server]
 
-	// owned by the servers' follower
+	// rules say which servers may get a request now.
+	rules atomic.Pointer[eligible.Rules]
+	// evacuationsAt is the store's revision of the newest change of the evacuations.
+	evacuationsAt atomic.Uint64
+	sharedHomes   *homes
+
+	// serversMu guards what is believed of the servers: their entries, the evacuations
+	// and the configuration come from different goroutines.
+	serversMu    sync.Mutex
+	evacuations  *evacuations
+	warming      *warming
+	serverKeys   []string               // in order
 	serverStates map[string]serverState // by key
 	// newestStarts are the highest incarnations seen, by server.
 	newestStarts *lru.Cache[string, uint64]
@@ -138,6 +160,7 @@
 		events:       make(chan func(), eventQueue),
 		ended:        make(chan struct{}),
 		serverStates: make(map[string]serverState),
+		warming:      &warming{self: ident.HostID(options.Name), zone: options.Zone, bounds: options.Warmup},
 	}
 	newest, err := lru.New[string, uint64](rememberedStarts)
 	if err != nil {
@@ -164,7 +187,7 @@
 // Ready reports whether callers should be sent here: the configuration and the
 // servers are known, and no stop was asked for.
 func (g *Gateway) Ready() bool {
-	return g.inForce.Load() != nil && g.servers.Listed() && !g.Stopping() && !g.cutOff()
+	return g.inForce.Load() != nil && g.servers.Listed() && g.evacuationsListed() && !g.Stopping() && !g.cutOff()
 }
 
 // Stopping reports whether a planned stop has begun.
@@ -201,6 +224,9 @@
 	run("peers", func(ctx context.Context) error { return g.peers.Serve(ctx, g.options.Peers) })
 	run("configuration", g.configs.Run)
 	run("servers", g.servers.Run)
+	if g.evacuationList != nil {
+		run("evacuations", g.evacuationList.Run)
+	}
 	run("registration", g.register)
 	run("load", g.measureLoad)
 	run("stop", func(live context.Context) error {
@@ -260,6 +286,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.configureWarming(next)
 	g.callers.forget(next.targets)
 	g.toldForecasts.forget(next.names)
 	g.countZones()
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
@@ -125,6 +126,33 @@
 	return next
 }
 
+// within is the placement of the shared services if all its hosts are of the
+// availability zone; nil: it is not, or nothing is shared.
+func (h *homes) within(zone string) *place.Homes {
+	p := h.current()
+	for _, id := range p.hosts {
+		if host, known := p.of.Find(id); !known || host.Zone != zone {
+			return nil
+		}
+	}
+	return p.homes
+}
+
+// allIn reports whether a request that is bound to the regions may be seen by all hosts
+// that share services; no regions: it is not bound.
+func (h *homes) allIn(regions []string) bool {
+	if len(regions) == 0 {
+		return true
+	}
+	p := h.current()
+	for _, id := range p.hosts {
+		if host, known := p.of.Find(id); !known || !eligible.InRegions(regions, host.Region) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *placement) holds(view *member.View, services []place.Service) bool {
 	return p != nil && p.of == view && sameServices(p.services, services)
 }
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -46,6 +46,7 @@
 		share := max(0, (used-usedBefore).Seconds()/passed.Seconds()/g.tuning.Load().Processor)
 		usedBefore, at = used, now
 		g.shareBudget()
+		g.lookAtWarming()
 		told = easedLoad(told, share)
 		g.told.Store(uint32(1000 * told))
 		g.members.SetLoad(g.told.Load())
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/discover"
@@ -59,20 +60,35 @@
 	if c := g.inForce.Load(); c != nil {
 		g.members.AnnounceConfig(c.revision, nil)
 	}
-	g.members.AnnounceServers(g.serversAt.Load())
+	g.members.AnnounceStore(member.StoreRevisions{Servers: g.serversAt.Load(), Evacuations: g.evacuationsAt.Load()})
 }
 
 // heardNews hears what a peer knows; it runs on the members' control loop.
 func (g *Gateway) heardNews(news member.ConfigNews) {
 	peers := g.peersToAsk(news)
-	g.servers.Hear(discover.Hint{Peers: peers, Revision: news.ServersRevision})
+	g.servers.Hear(discover.Hint{Peers: peers, Revision: news.Store.Servers})
+	if g.evacuationList != nil {
+		g.evacuationList.Hear(discover.Hint{Peers: peers, Revision: news.Store.Evacuations})
+	}
 	g.configs.Hear(discover.Hint{Peers: peers, Revision: news.Generation})
-	if known := g.servers.Revision(); known >= news.ServersRevision {
-		g.serversAt.Store(max(g.serversAt.Load(), news.ServersRevision)) // known already, without a change
+	// What is known already, without a change, is told on.
+	known := noteKnown(g.servers, &g.serversAt, news.Store.Servers)
+	known = noteKnown(g.evacuationList, &g.evacuationsAt, news.Store.Evacuations) || known
+	if known {
 		g.announce()
 	}
 }
 
+// noteKnown raises the revision of the newest change to the one told if the follower
+// knows that already.
+func noteKnown(f *discover.Follower, newest *atomic.Uint64, told uint64) bool {
+	if f == nil || f.Revision() < told {
+		return false
+	}
+	newest.Store(max(newest.Load(), told))
+	return true
+}
+
 // peersToAsk are the watchers of the own zone, in any order, and last the host
 // that told the news: bytes between zones are dear, and a configuration of a
 // thousand routes goes to every host.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -33,6 +33,8 @@
 	FarServer    *farServer
 	HomeLegs     *homeLegs
 	Told         *toldForecasts
+	Evacuations  *evacuations
+	SharedHomes  *homes
 }
 
 // build wires the parts in one place; the container orders the constructors.
@@ -48,9 +50,11 @@
 		g.newMembers,
 		g.newFarRunner,
 		func() (*farServer, error) {
-			return newFarServer(loggedRunner{g.options.Backends, g.log, g.options.Now, &g.attempts})
+			return newFarServer(loggedRunner{g.guard(g.options.Backends, g.mayPassOn), g.log, g.options.Now, &g.attempts})
 		},
 		g.newHomes,
+		g.newSharedHomes,
+		newEvacuations,
 		newHomeLegs,
 		func() *toldForecasts { return newToldForecasts(g.options.Now) },
 		g.newCoordinators,
@@ -64,6 +68,7 @@
 		g.coordinators, g.relay = b.Coordinators, b.Relay
 		g.peers, g.farServer = b.Peers, b.FarServer
 		g.homeLegs, g.toldForecasts = b.HomeLegs, b.Told
+		g.evacuations, g.sharedHomes = b.Evacuations, b.SharedHomes
 	})
 	if err != nil {
 		return err
@@ -78,7 +83,14 @@
 	}
 	g.configs = g.newFollower(g.options.ConfigKey, nil, g.applyConfigs)
 	g.servers = g.newFollower(g.options.ServersPrefix, g.settleServers, g.applyServers)
-	return g.relay.Register(g.peers.Mux(), g.configs, g.servers)
+	followers := []*discover.Follower{g.configs, g.servers}
+	if g.options.EvacuationsPrefix != "" {
+		g.evacuationList = g.newFollower(g.options.EvacuationsPrefix, nil, g.applyEvacuations)
+		followers = append(followers, g.evacuationList)
+	} else {
+		g.setEvacuations(nil, 0)
+	}
+	return g.relay.Register(g.peers.Mux(), followers...)
 }
 
 func (g *Gateway) newMembers(pool *peer.Pool, registry *prometheus.Registry) *member.Agent {
@@ -114,7 +126,7 @@
 }
 
 func (g *Gateway) newHomes(runner *farRunner, counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(loggedRunner{runner, g.log, g.options.Now, &g.attempts}, counters, noWatcher{}, g.options.Now, g.homesConfig)
+	homes := homeserver.New(loggedRunner{g.guard(runner, g.mayGet), g.log, g.options.Now, &g.attempts}, counters, noWatcher{}, g.options.Now, g.homesConfig)
 	homes.SetObserver(g.logServer)
 	homes.SetTune(g.tuneHome)
 	return homes
@@ -130,16 +142,21 @@
 	}
 }
 
-func (g *Gateway) newCoordinators(local *homeserver.Server, members *member.Agent, pool *peer.Pool, told *toldForecasts, counters *observe.Metrics) coordinators {
+// newSharedHomes makes the ways to the homes of large searches.
+func (g *Gateway) newSharedHomes(local *homeserver.Server, members *member.Agent, pool *peer.Pool, told *toldForecasts) *homes {
 	links := exchange.NewClient(g.live, pool, ident.HostID(g.options.Name), members.Incarnation(), g.options.Now)
 	links.Silence = farSilence
 	links.OnSilent = told.noteSilent
-	shared := &homes{
+	return &homes{
 		self: ident.HostID(g.options.Name), zone: g.options.Zone, local: local, view: members.View, zones: g.serversByZone, split: g.sharedServices,
 		links: links, told: told, log: g.log,
 	}
+}
+
+func (g *Gateway) newCoordinators(shared *homes, local *homeserver.Server, counters *observe.Metrics) coordinators {
 	learn := func(string, string, []snapshot.Version) {}
 	return coordinators{
+		homes:  shared,
 		plain:  scatter.NewCoordinator(localHomes{self: shared.self, local: local}, counters, g.options.Now, learn),
 		shared: scatter.NewCoordinator(shared, counters, g.options.Now, learn),
 	}
@@ -149,11 +166,12 @@
 // services hosts share.
 type coordinators struct {
 	plain, shared *scatter.Coordinator
+	homes         *homes // of the shared ones
 }
 
 // of chooses the coordinator for a request.
 func (c coordinators) of(work *scatter.Work) *scatter.Coordinator {
-	if work.Forward.Merge == nil || len(work.Body) > mostFarBody {
+	if work.Forward.Merge == nil || len(work.Body) > mostFarBody || !c.homes.allIn(work.Forward.Regions) {
 		return c.plain
 	}
 	return c.shared
@@ -185,7 +203,7 @@
 func (g *Gateway) newFollower(prefix string, settle func() time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
-		Relay: g.relay, Watches: g.watches, Joined: g.members.Joined, Settle: settle, StaleStart: prefix == g.options.ServersPrefix,
+		Relay: g.relay, Watches: g.watches, Joined: g.members.Joined, Settle: settle, StaleStart: prefix != g.options.ConfigKey,
 	})
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,6 +107,8 @@
 	switch {
 	case c == nil || !g.servers.Listed():
 		return refused(result.NotReady, "no configuration yet", notReadyAfter)
+	case !g.evacuationsListed():
+		return refused(result.NotReady, "evacuated zones are not known yet", notReadyAfter)
 	case g.phase() >= drain.PhaseRefusing:
 		return refused(result.Draining, "this host is stopping", elsewhereAfter)
 	case g.cutOff():
@@ -152,6 +154,7 @@
 		plan.Prefer = bundle.PreferLatency
 		q.Forward.Merge = &forward.Merge{Greatest: r.Greatest, Services: len(r.Shards)}
 	}
+	q.Forward.Regions = r.Regions
 	return scatter.Work{
 		Plan:       plan,
 		Index:      r.Name,
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -21,8 +24,16 @@
 	Zone        string // availability zone
 	Slots       int    // requests it serves at once; 0: not said
 	Leaving     bool
-	// Cold: the server has just started and is still slow.
-	Cold bool
+	// ColdFor is how much longer the server is cold after its start.
+	ColdFor time.Duration
+}
+
+// sameState reports whether two entries say the same, but for how long the server is
+// still cold, which each of them says anew.
+func (e ServerEntry) sameState(other ServerEntry) bool {
+	same := (e.ColdFor > 0) == (other.ColdFor > 0)
+	e.ColdFor, other.ColdFor = 0, 0
+	return same && e == other
 }
 
 // serverState is an entry as it was decoded last.
@@ -30,39 +41,71 @@
 	revision uint64 // of the object
 	entry    ServerEntry
 	valid    bool
+	// coldUntil is when the server is warm, by its last word.
+	coldUntil time.Time
 }
 
 // applyServers takes the entries of all backend servers in. Only those that
 // have changed are decoded: hundreds of servers change one by one, on hosts
 // with a fifth of a core.
 func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
-	known := make(map[string][]homeserver.Known)
-	inService := make(map[string]backend.Server, len(objects))
+	g.serversMu.Lock()
+	defer g.serversMu.Unlock()
+	g.serverKeys = g.serverKeys[:0]
 	for _, object := range objects {
-		state := g.decodeServer(object)
+		g.decodeServer(object)
+		g.serverKeys = append(g.serverKeys, object.Key)
+	}
+	g.dropServers(objects)
+	g.publishServers()
+	g.serversAt.Store(revision)
+	g.announce()
+}
+
+// publishServers tells homes and ways between hosts which backend servers may get
+// requests. serversMu is held.
+func (g *Gateway) publishServers() {
+	known := make(map[string][]homeserver.Known)
+	inService := make(map[string]backend.Server, len(g.serverKeys))
+	rules := g.nextRules()
+	for _, key := range g.serverKeys {
+		state := g.serverStates[key]
 		if !state.valid {
 			continue
 		}
-		entry := state.entry
-		server := serverOf(entry)
-		known[entry.Service] = append(known[entry.Service], homeserver.Known{
-			Server:   server,
-			SameZone: entry.Zone == g.options.Zone,
-			Leaving:  entry.Leaving,
-			Slots:    entry.Slots,
-			Cold:     entry.Cold,
-		})
-		if !entry.Leaving {
-			inService[entry.Name] = server
+		k := g.known(state, rules)
+		known[state.entry.Service] = append(known[state.entry.Service], k)
+		if !k.Leaving {
+			inService[state.entry.Name] = k.Server
+		}
+		if k.Warmup.For > 0 && !k.ColdUntil.IsZero() {
+			rules.Cold[state.entry.Name] = k.ColdUntil
 		}
 	}
-	g.dropServers(objects)
+	g.rules.Store(rules)
 	g.inService.Store(&inService)
 	g.farServer.setServers(inService)
 	g.homes.SetServers(known)
 	g.countZones()
-	g.serversAt.Store(revision)
-	g.announce()
+}
+
+// known is a backend server as the homes are told of it. One in an evacuated zone gets
+// no new work, like one that leaves, and what runs there ends in peace.
+func (g *Gateway) known(state serverState, rules *eligible.Rules) homeserver.Known {
+	entry := state.entry
+	k := homeserver.Known{
+		Server:    serverOf(entry),
+		SameZone:  entry.Zone == g.options.Zone,
+		Leaving:   entry.Leaving || rules.Zone(entry.Zone, nil) != eligible.Allowed,
+		Slots:     entry.Slots,
+		Region:    rules.Regions[entry.Zone],
+		ColdUntil: state.coldUntil,
+		Warmup:    g.warming.limits(entry.Service, entry.Zone),
+	}
+	if back := rules.Evacuations.ColdUntil(entry.Zone, k.Warmup.For); back.After(k.ColdUntil) {
+		k.ColdUntil = back
+	}
+	return k
 }
 
 func serverOf(entry ServerEntry) backend.Server {
@@ -93,16 +136,19 @@
 }
 
 // decodeServer decodes an entry if it has changed, and writes a line about it.
-func (g *Gateway) decodeServer(object metastore.Object) serverState {
+func (g *Gateway) decodeServer(object metastore.Object) {
 	before, seen := g.serverStates[object.Key]
 	if seen && before.revision == object.Revision {
-		return before
+		return
 	}
 	entry, err := g.options.Decode.Server(object)
 	state := serverState{revision: object.Revision, entry: entry, valid: err == nil}
+	if entry.ColdFor > 0 {
+		state.coldUntil = g.options.Now().Add(entry.ColdFor)
+	}
 	earlier := err == nil && g.outlived(entry)
 	if earlier { // what was believed stays
-		state.entry, state.valid = before.entry, before.valid
+		state.entry, state.valid, state.coldUntil = before.entry, before.valid, before.coldUntil
 	}
 	g.serverStates[object.Key] = state
 	switch {
@@ -110,13 +156,12 @@
 		g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
 	case earlier:
 		g.log.Info("backend server's entry is of an earlier start and is left out", zap.String("server", entry.Name), zap.Uint64("incarnation", entry.Incarnation), zap.Uint64("revision", object.Revision))
-	case !seen || before.entry != entry:
+	case !seen || !before.entry.sameState(entry):
 		g.dropConnections(before.entry, entry)
 		g.log.Info("backend server", zap.String("server", entry.Name), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Uint64("incarnation", entry.Incarnation),
-			zap.Bool("leaving", entry.Leaving), zap.Bool("cold", entry.Cold), zap.Uint64("revision", object.Revision))
+			zap.Bool("leaving", entry.Leaving), zap.Duration("cold_for", entry.ColdFor), zap.Uint64("revision", object.Revision))
 	}
-	return state
 }
 
 // outlived reports whether a later start of the server is known; else it remembers
--- a/gateway/tuning.go
+++ b/gateway/tuning.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/home"
 )
 
@@ -54,7 +55,7 @@
 // all it may. Harm prevented: in a deployment of five zones or more the parts add
 // up to more than the operator allows. Limit: never fewer than leastSharing.
 func (g *Gateway) shareBudget() {
-	hosts := int64(max(leastSharing, len(g.Advise())))
+	hosts := int64(max(leastSharing, len(entry.Carriers(g.members.View(), g.serversByZone()))))
 	if g.sharing.Swap(hosts) == hosts {
 		return
 	}
--- a/home/changes.go
+++ b/home/changes.go
@@ -17,11 +17,13 @@
 	ServerEjected
 	// ServerDraining: it has said that it leaves, and gets nothing any more.
 	ServerDraining
+	// ServerCold: it has just started and gets little, or nothing from this host.
+	ServerCold
 )
 
 // String names the state as logs do.
 func (s ServerState) String() string {
-	return [...]string{"healthy", "stalled", "refuses", "ejected", "draining"}[s]
+	return [...]string{"healthy", "stalled", "refuses", "ejected", "draining", "cold"}[s]
 }
 
 // ServerChange is a change of what the home believes, with what decided it.
@@ -60,6 +62,8 @@
 		return ServerRefuses
 	case h.stalled(s, now):
 		return ServerStalled
+	case s.cold(now):
+		return ServerCold
 	default:
 		return ServerHealthy
 	}
@@ -67,7 +71,7 @@
 
 // idleUntil is until when the server gets nothing; zero: it may get work now.
 func (s *server) idleUntil(now time.Time) time.Time {
-	if at := s.availableAt(); at.After(now) {
+	if at := s.availableAt(now); at.After(now) {
 		return at
 	}
 	return time.Time{}
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -85,6 +86,7 @@
 		s.ahead.sent()
 	}
 	s.running = append(s.running, a)
+	s.noteStart(now)
 	l.addAttempt(a)
 	l.started++
 	c.running++
@@ -106,7 +108,7 @@
 // queue ahead alone takes longer than it has is told so now.
 func (h *Home) admits(c *class, l *leg, now time.Time) (result.Code, bool) {
 	switch {
-	case h.known && !h.anyInService():
+	case h.known && (!h.anyInServiceFor(l) || h.allHeld(now)):
 		return result.NoBackend, false
 	case !h.canMeet(l, now):
 		return result.DeadlineUnmeetable, false
@@ -185,10 +187,14 @@
 	}
 	code, wait := result.NoBackend, noBackendRetry
 	if h.anyInService() {
-		if !h.allRefuse(now) {
-			return acts
+		switch {
+		case h.allHeld(now):
+			wait = h.retryAfter(now, 0)
+		case h.allRefuse(now):
+			code, wait = result.BackendsRefused, h.retryAfter(now, 0)
+		default:
+			return h.dropBound(now, acts)
 		}
-		code, wait = result.BackendsRefused, h.retryAfter(now, 0)
 	}
 	for i := range h.classes {
 		c := &h.classes[i]
@@ -200,6 +206,33 @@
 	return acts
 }
 
+// dropBound fails the waiting legs that are bound to regions of which no server is in
+// service any more.
+func (h *Home) dropBound(now time.Time, acts []Action) []Action {
+	for i := range h.classes {
+		waiting := h.classes[i].waiting.legs
+		for j := len(waiting) - 1; j >= 0; j-- {
+			if l := waiting[j]; !h.anyInServiceFor(l) {
+				acts = h.fail(l, l.failCode(result.NoBackend), noBackendRetry, acts)
+			}
+		}
+	}
+	return acts
+}
+
+// anyInServiceFor reports whether a server that the leg may go to is in service.
+func (h *Home) anyInServiceFor(l *leg) bool {
+	if len(l.Regions) == 0 {
+		return h.anyInService()
+	}
+	for _, s := range h.servers {
+		if s.inService() && eligible.InRegions(l.Regions, s.spec.Region) {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Home) anyInService() bool {
 	for _, s := range h.servers {
 		if s.inService() {
@@ -233,7 +266,7 @@
 		if s.usable(now) {
 			return now
 		}
-		next = earlier(next, s.availableAt())
+		next = earlier(next, s.availableAt(now))
 	}
 	return next
 }
--- a/home/forecast.go
+++ b/home/forecast.go
@@ -34,7 +34,7 @@
 	if !h.known {
 		return false
 	}
-	if !h.anyInService() || h.allRefuse(now) {
+	if !h.anyInService() || h.allHeld(now) || h.allRefuse(now) {
 		return true
 	}
 	if now.Sub(h.lastGood) < silentAfter {
--- a/home/home.go
+++ b/home/home.go
@@ -39,6 +39,8 @@
 	MaxServers int
 	// Only names the one server that may run the leg; empty: any.
 	Only string
+	// Regions are those whose servers may run the leg; empty: any.
+	Regions []string
 	// Forwarded requests are tried again on another server also after one that
 	// ran them has failed, if they are idempotent.
 	Forwarded bool
@@ -89,8 +91,19 @@
 	Incarnation uint64
 	SameZone    bool
 	Leaving     bool
-	Slots       int  // 0: Config.SlotsPerServer
-	Cold        bool // the server says that it has just started
+	Slots       int // 0: Config.SlotsPerServer
+	Region      string
+	// ColdUntil is until when the server has said to be cold after its start.
+	ColdUntil time.Time
+	// Warmup bounds what the server gets while it is cold.
+	Warmup Warmup
+}
+
+// Warmup bounds what this home may send to a server while it is cold; the zero value:
+// no bound.
+type Warmup struct {
+	For       time.Duration // a server is cold for so long after a start; 0: no bound
+	PerSecond int           // starts in any second; 0: none, another host warms it
 }
 
 // ClassSpec is a class as the home needs it.
--- a/home/learn.go
+++ b/home/learn.go
@@ -102,6 +102,7 @@
 func (h *Home) observeFault(now time.Time, a *attempt, end End) {
 	s := a.server
 	s.failing.note(now, true)
+	s.noteUnreachable(now, end)
 	if end.Fault == backend.FaultDeadline || end.Fault == backend.FaultSilent {
 		s.times[a.leg.Class].observe(now, now.Sub(a.started), false)
 	}
--- a/home/leg.go
+++ b/home/leg.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -87,6 +88,9 @@
 	if l.Only != "" && l.Only != s.spec.Name {
 		return true
 	}
+	if !eligible.InRegions(l.Regions, s.spec.Region) {
+		return true
+	}
 	for _, a := range l.attempts {
 		if a != nil && a.server == s {
 			return true
--- a/home/place.go
+++ b/home/place.go
@@ -1,6 +1,10 @@
 package home
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/eligible"
+)
 
 const (
 	// zoneCost is what a hop to another zone counts for, in seconds: there and
@@ -31,15 +35,16 @@
 // queue is long. It allocates nothing and looks at each server once.
 func (h *Home) place(c *class, l *leg, ahead int, now time.Time) *server {
 	prior := c.prior(now)
+	usable := h.usableFor(l, now)
 	var best *server
 	var bestFinish, bestTime, waitFinish, waitTime float64
 	for _, s := range h.servers {
-		if !s.usable(now) || l.avoids(s, h.usableCount) {
+		if !s.usable(now) || l.avoids(s, usable) {
 			continue
 		}
 		limit := s.limit(h.anyWarm)
 		expected := s.expected(c.index, prior, now)
-		if h.usableCount > 1 && h.stalled(s, now) {
+		if usable > 1 && h.stalled(s, now) {
 			continue
 		}
 		if len(s.running) >= s.room(c.long, h.anyWarm, now) {
@@ -60,6 +65,20 @@
 	return best
 }
 
+// usableFor counts the usable servers that the leg may go to.
+func (h *Home) usableFor(l *leg, now time.Time) int {
+	if len(l.Regions) == 0 {
+		return h.usableCount
+	}
+	usable := 0
+	for _, s := range h.servers {
+		if s.usable(now) && eligible.InRegions(l.Regions, s.spec.Region) {
+			usable++
+		}
+	}
+	return usable
+}
+
 // freeFinish is the expected finish on a server with a free slot. Requests that
 // run there, this home's or reported ones, count for a part of one: they slow
 // it down.
--- a/home/server.go
+++ b/home/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -50,6 +51,9 @@
 
 	ahead ahead
 
+	starts         eligible.Starts // of attempts while cold
+	restartedUntil time.Time       // cold until then, as connections to it failed
+
 	others     int // requests that are not this home's, by the server's report
 	reportedAt time.Time
 	answeredAt time.Time   // the last answer
@@ -90,15 +94,20 @@
 
 // usable reports whether the server may get work now.
 func (s *server) usable(now time.Time) bool {
-	return s.inService() && !now.Before(s.pausedUntil) && !now.Before(s.ejectedUntil)
+	return s.inService() && !now.Before(s.pausedUntil) && !now.Before(s.ejectedUntil) &&
+		(!s.cold(now) || s.starts.Allows(now, s.spec.Warmup.PerSecond))
 }
 
 // availableAt is when a server in service is usable again.
-func (s *server) availableAt() time.Time {
-	if s.ejectedUntil.After(s.pausedUntil) {
-		return s.ejectedUntil
+func (s *server) availableAt(now time.Time) time.Time {
+	at := s.pausedUntil
+	if s.ejectedUntil.After(at) {
+		at = s.ejectedUntil
+	}
+	if warm := s.warmerAt(now); warm.After(at) {
+		at = warm
 	}
-	return s.pausedUntil
+	return at
 }
 
 // limit is how many attempts the server may run at once.
--- a/home/state.go
+++ b/home/state.go
@@ -87,18 +87,22 @@
 // SetServers replaces the known backend servers of the service. A server with
 // a new incarnation starts afresh.
 func (h *Home) SetServers(now time.Time, specs []ServerSpec, acts []Action) []Action {
-	next := make([]*server, 0, len(specs))
+	servers := make([]*server, 0, len(specs))
 	for _, spec := range specs {
 		s := h.find(spec.Name)
 		if s == nil || s.spec.Incarnation != spec.Incarnation {
-			s = newServer(now, spec, &h.cfg, !h.known && !spec.Cold)
+			next := newServer(now, spec, &h.cfg, !h.known && !now.Before(spec.ColdUntil))
+			if s != nil {
+				next.starts = s.starts // those of this second may have reached the new start
+			}
+			s = next
 		}
 		s.spec = spec
 		s.slots = slotsOf(spec, &h.cfg)
-		next = append(next, s)
+		servers = append(servers, s)
 	}
-	slices.SortFunc(next, func(a, b *server) int { return strings.Compare(a.spec.Name, b.spec.Name) })
-	h.servers = next
+	slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.spec.Name, b.spec.Name) })
+	h.servers = servers
 	if !h.known {
 		h.known, h.lastGood = true, now
 	}
@@ -211,7 +215,7 @@
 		return next
 	}
 	for _, s := range h.servers {
-		if at := s.availableAt(); s.inService() && at.After(h.decidedAt) {
+		if at := s.availableAt(h.decidedAt); s.inService() && at.After(h.decidedAt) {
 			next = earlier(next, at)
 		}
 	}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -62,9 +62,12 @@
 	Leaving  bool
 	// Slots is how many requests the server serves at once; 0: as many as the
 	// configuration says of its service.
-	Slots int
-	// Cold: the server says that it has just started and is still slow.
-	Cold bool
+	Slots  int
+	Region string
+	// ColdUntil is until when the server has said to be cold after its start.
+	ColdUntil time.Time
+	// Warmup bounds what the server gets while it is cold.
+	Warmup home.Warmup
 }
 
 // Tune changes the limits of a service's home before they are put in force.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -81,11 +81,20 @@
 			Optional:    request.Optional,
 			MaxServers:  request.MaxServers,
 			Only:        request.Only,
+			Regions:     regionsOf(request),
 			Forwarded:   request.Forward != nil,
 		}, acts)
 	})
 }
 
+// regionsOf are the regions whose servers may run the request; empty: any.
+func regionsOf(request leg.Request) []string {
+	if request.Forward == nil {
+		return nil
+	}
+	return request.Forward.Regions
+}
+
 func (s *service) cancel(id home.LegID) {
 	var gone *openLeg
 	var outcome result.Outcome
@@ -114,7 +123,9 @@
 				SameZone:    k.SameZone,
 				Leaving:     k.Leaving,
 				Slots:       k.Slots,
-				Cold:        k.Cold,
+				Region:      k.Region,
+				ColdUntil:   k.ColdUntil,
+				Warmup:      k.Warmup,
 			}
 		}
 		s.servers = servers
--- a/member/agent.go
+++ b/member/agent.go
@@ -145,10 +145,10 @@
 	a.post(func(now time.Time, m *Membership) { m.AnnounceConfig(now, generation, manifestHash) })
 }
 
-// AnnounceServers tells peers up to which revision of the store this host knows
-// the changes of backend servers.
-func (a *Agent) AnnounceServers(revision uint64) {
-	a.post(func(now time.Time, m *Membership) { m.AnnounceServers(now, revision) })
+// AnnounceStore tells peers up to which revisions of the store this host knows its
+// changes.
+func (a *Agent) AnnounceStore(known StoreRevisions) {
+	a.post(func(now time.Time, m *Membership) { m.AnnounceStore(now, known) })
 }
 
 // AnnounceBackend tells peers that a life of a backend server is leaving.
--- a/member/news.go
+++ b/member/news.go
@@ -27,9 +27,29 @@
 	FromAddress  string // IP and port of From's peer listener
 	Generation   uint64
 	ManifestHash []byte
-	// ServersRevision is the store's revision up to which From knows the
-	// changes of backend servers; 0: it does not follow them.
-	ServersRevision uint64
+	// Store is how far From knows the platform's store.
+	Store StoreRevisions
+}
+
+// StoreRevisions are the store's revisions up to which a host knows its changes; 0: it
+// does not follow them.
+type StoreRevisions struct {
+	Servers     uint64 // of backend servers
+	Evacuations uint64 // of evacuated availability zones
+}
+
+// newerThan reports whether any of the revisions is higher.
+func (r StoreRevisions) newerThan(other StoreRevisions) bool {
+	return r.Servers > other.Servers || r.Evacuations > other.Evacuations
+}
+
+// with takes the higher of the revisions.
+func (r StoreRevisions) with(other StoreRevisions) StoreRevisions {
+	return StoreRevisions{Servers: max(r.Servers, other.Servers), Evacuations: max(r.Evacuations, other.Evacuations)}
+}
+
+func storeFromWire(news *memberpb.ConfigNews) StoreRevisions {
+	return StoreRevisions{Servers: news.GetServersRevision(), Evacuations: news.GetEvacuationsRevision()}
 }
 
 // BackendNews says that one life of a backend server is leaving or gone.
@@ -67,25 +87,25 @@
 	if generation <= m.inForce.GetGeneration() {
 		return
 	}
-	m.announceNews(now, &memberpb.ConfigNews{
-		Generation: generation, ManifestHash: manifestHash, ServersRevision: m.inForce.GetServersRevision(),
-	})
+	m.announceNews(now, generation, manifestHash, storeFromWire(m.inForce))
 }
 
-// AnnounceServers tells peers up to which revision of the store this host
-// knows the changes of backend servers. A lower one is ignored.
-func (m *Membership) AnnounceServers(now time.Time, revision uint64) {
+// AnnounceStore tells peers up to which revisions of the store this host knows its
+// changes. Lower ones are ignored.
+func (m *Membership) AnnounceStore(now time.Time, known StoreRevisions) {
 	m.enter(now)
-	if revision <= m.inForce.GetServersRevision() {
+	before := storeFromWire(m.inForce)
+	if !known.newerThan(before) {
 		return
 	}
-	m.announceNews(now, &memberpb.ConfigNews{
-		Generation: m.inForce.GetGeneration(), ManifestHash: m.inForce.GetManifestHash(), ServersRevision: revision,
-	})
+	m.announceNews(now, m.inForce.GetGeneration(), m.inForce.GetManifestHash(), known.with(before))
 }
 
-func (m *Membership) announceNews(now time.Time, news *memberpb.ConfigNews) {
-	m.inForce = news
+func (m *Membership) announceNews(now time.Time, generation uint64, manifestHash []byte, store StoreRevisions) {
+	m.inForce = &memberpb.ConfigNews{
+		Generation: generation, ManifestHash: manifestHash,
+		ServersRevision: store.Servers, EvacuationsRevision: store.Evacuations,
+	}
 	m.urgentConfig = true
 	m.schedulePush(now)
 }
@@ -302,7 +322,7 @@
 // applyConfig reports a newer configuration each time it is heard of until it
 // is announced here: the next message is the retry of a pull that failed.
 func (m *Membership) applyConfig(sender *memberpb.HostNews, news *memberpb.ConfigNews) {
-	if news.GetGeneration() <= m.inForce.GetGeneration() && news.GetServersRevision() <= m.inForce.GetServersRevision() {
+	if news.GetGeneration() <= m.inForce.GetGeneration() && !storeFromWire(news).newerThan(storeFromWire(m.inForce)) {
 		return
 	}
 	r := m.records[ident.HostID(sender.GetHost())]
@@ -314,8 +334,7 @@
 		FromAddress:  r.PeerAddress,
 		Generation:   news.Generation,
 		ManifestHash: news.ManifestHash,
-
-		ServersRevision: news.ServersRevision,
+		Store:        storeFromWire(news),
 	})
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/eligible"
 )
 
 // Config is one version of the operator's configuration.
@@ -32,6 +34,8 @@
 	Name string
 	// Connections is each backend server's limit over all hosts; 0: not known.
 	Connections int
+	// Warmup is what its backend servers bear while they are cold.
+	Warmup eligible.Warmup
 }
 
 // Route says where requests of a host name and path prefix go.
@@ -58,6 +62,8 @@
 	Greatest int
 	// LeastShare is the share of shards, 0 to 1, below which there is no answer.
 	LeastShare float64
+	// Regions are those whose backend servers may run the route's requests; empty: any.
+	Regions []string
 }
 
 // Share is one service of a plain route and its weight against the others.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -83,3 +83,17 @@
 	}
 	is.True((&Config{}).Validate() != nil)
 }
+
+// One host name has a route that may be served in two regions, one in a single one, and
+// one that is not bound. Callers of the name must be sent where all of them may be served.
+func TestRegionsOfAHostName(t *testing.T) {
+	is := is.New(t)
+	a := []Share{{Service: "a", Weight: 1}}
+	wide, narrow, free := plain("wide", "x", "/w/", a...), plain("narrow", "X", "/n/", a...), plain("free", "x", "/f/", a...)
+	wide.Regions, narrow.Regions = []string{"north", "south"}, []string{"south"}
+	other := plain("other", "y", "/", a...)
+	table := NewTable(config(wide, narrow, free, other))
+	is.Equal(table.Regions("x:80"), []string{"south"})
+	is.Equal(len(table.Regions("y")), 0)
+	is.Equal(wide.Regions, []string{"north", "south"}) // the configuration's own stay
+}
--- a/route/table.go
+++ b/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"sync/atomic"
 )
@@ -11,6 +12,7 @@
 type Table struct {
 	Config *Config
 	hosts  map[string]map[string]*entry // by host name, by prefix
+	bound  map[string][]string          // regions that all bound routes of a host name allow
 }
 
 type entry struct {
@@ -22,7 +24,7 @@
 // NewTable indexes a valid configuration. Of two routes with the same host and
 // prefix the later one holds.
 func NewTable(config *Config) *Table {
-	t := &Table{Config: config, hosts: make(map[string]map[string]*entry)}
+	t := &Table{Config: config, hosts: make(map[string]map[string]*entry), bound: make(map[string][]string)}
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -30,10 +32,28 @@
 			t.hosts[host] = make(map[string]*entry)
 		}
 		t.hosts[host][r.Prefix] = &entry{route: r}
+		t.bind(host, r.Regions)
 	}
 	return t
 }
 
+// bind narrows the regions of a host name to those that one more of its routes allows.
+func (t *Table) bind(host string, regions []string) {
+	if len(regions) == 0 {
+		return
+	}
+	before, bound := t.bound[host]
+	if !bound {
+		t.bound[host] = slices.Clone(regions)
+		return
+	}
+	t.bound[host] = slices.DeleteFunc(before, func(region string) bool { return !slices.Contains(regions, region) })
+}
+
+// Regions are those that requests with the host name are bound to, whichever of its
+// routes they take; empty: they are not, or no region suits all of its routes.
+func (t *Table) Regions(host string) []string { return t.bound[normalHost(host)] }
+
 // Match returns the route of the host with the longest prefix that begins the
 // path, and for a plain route the service that gets this request.
 func (t *Table) Match(host, path string) (r *Route, service string, ok bool) {
