--- a/entry/carriers.go
+++ b/entry/carriers.go
@@ -35,11 +35,14 @@
 func Carriers(view *member.View, serversIn map[string]int) []member.Host {
 	byZone := servingByZone(view)
 	var chosen, rest, spare []member.Host
+	well := anyWell(byZone)
 	for _, zone := range nearZones(serversIn) {
-		if hosts := byZone[zone]; len(hosts) > 0 {
-			chosen = append(chosen, hosts[0])
-			rest = append(rest, hosts[1:]...)
+		hosts := byZone[zone]
+		if len(hosts) == 0 || (maybeLost(hosts) && well) {
+			continue // those of a zone that may be lost are the last to be advised
 		}
+		chosen = append(chosen, hosts[0])
+		rest = append(rest, hosts[1:]...)
 		delete(byZone, zone)
 	}
 	for _, hosts := range byZone {
@@ -52,6 +55,30 @@
 	return append(chosen, rest[:more]...)
 }
 
+// maybeLost reports whether more than half of the hosts of a zone are suspected.
+//
+// Failure: a zone loses its power. Its hosts are suspected one after the other, and each
+// has seconds to refute. It shows as callers that are told a dead host meanwhile. The
+// guard holds because all hosts of such a zone are passed by while another zone is well.
+func maybeLost(hosts []member.Host) bool {
+	suspected := 0
+	for _, host := range hosts {
+		if host.State == member.StateSuspect {
+			suspected++
+		}
+	}
+	return 2*suspected > len(hosts)
+}
+
+func anyWell(byZone map[string][]member.Host) bool {
+	for _, hosts := range byZone {
+		if len(hosts) > 0 && !maybeLost(hosts) {
+			return true
+		}
+	}
+	return false
+}
+
 // Proxies are the hosts, one of each availability zone, through which hosts of
 // other zones reach the backend servers there: those that Carriers takes first.
 func Proxies(view *member.View) map[string]member.Host {
--- a/entry/carriers_test.go
+++ b/entry/carriers_test.go
@@ -83,3 +83,19 @@
 	is.Equal(proxies["a"].ID, Carriers(view, map[string]int{"a": 1})[0].ID)
 	is.Equal(string(proxies["a"].ID), "a2")
 }
+
+// A zone has lost its power, and all of its hosts are suspected. Callers must not be told
+// one of them for the seconds in which they may still refute, unless there is no other.
+func TestZoneThatMayBeLostIsAdvisedLast(t *testing.T) {
+	is := is.New(t)
+	lost, also := carrier("a1", "a", 1, 800), carrier("a2", "a", 2, 400)
+	lost.State, also.State = member.StateSuspect, member.StateSuspect
+	servers := map[string]int{"a": 5, "b": 5, "c": 5}
+	view := &member.View{Hosts: []member.Host{lost, also, carrier("b1", "b", 3, 400), carrier("c1", "c", 4, 400)}}
+	is.Equal(names(Carriers(view, servers)), []string{"b1", "c1"})
+	half := carrier("a3", "a", 5, 100)
+	view.Hosts = append(view.Hosts, half, carrier("a4", "a", 6, 100))
+	is.Equal(names(Carriers(view, servers)), []string{"a3", "b1", "c1"}) // half of it is well
+	alone := &member.View{Hosts: []member.Host{lost, also}}
+	is.Equal(names(Carriers(alone, servers)), []string{"a1", "a2"})
+}
--- a/member/config.go
+++ b/member/config.go
@@ -27,11 +27,15 @@
 	// connections. With 16 random partners each, the chance that a host is
 	// nobody's partner is e^-16, and partners change every rotateEvery.
 	partnerCount = 16
-	// zonePartnerCount of them are in other zones of the region, or more where
+	// At most zonePartnerCount of them are in other zones of the region, or more where
 	// the own zone has too few: a zone that is lost is noticed by these, and news
 	// crosses. Bytes between zones are dear to the users; with partners drawn
 	// from the whole region two of three probes crossed.
 	zonePartnerCount = 4
+	// zoneLinks is how many partners the hosts of a zone need in other zones together:
+	// so that each other zone is probed several times a second. Hosts of a large zone
+	// have fewer each, one at least.
+	zoneLinks = 24
 	// remotePartnerCount of them are in other regions: enough to carry news
 	// across, few enough that most probes stay within the region.
 	remotePartnerCount = 3
--- a/member/partners.go
+++ b/member/partners.go
@@ -94,12 +94,23 @@
 		m.drawPartners(remotePartnerCount-have[elsewhere], elsewhere)
 		return
 	}
-	near := partnerCount - zonePartnerCount - remotePartnerCount
+	near := partnerCount - m.crossPartners() - remotePartnerCount
 	have[sameZone] += m.drawPartners(near-have[sameZone], sameZone)
 	m.drawPartners(partnerCount-remotePartnerCount-have[sameZone]-have[sameRegion], sameRegion)
 	m.drawPartners(remotePartnerCount-have[elsewhere], elsewhere)
 }
 
+// crossPartners is how many partners this host has in other zones of its region.
+func (m *Membership) crossPartners() int {
+	hosts := 0
+	for _, r := range m.sorted {
+		if !r.lost() && m.distanceOf(r) == sameZone {
+			hosts++
+		}
+	}
+	return min((zoneLinks+hosts-1)/max(hosts, 1), zonePartnerCount)
+}
+
 // isCandidate reports whether a host may become a partner.
 func (m *Membership) isCandidate(r *record) bool {
 	return !r.partner && r != m.self && !r.lost()
