--- a/parts_traffic.go
+++ b/parts_traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -125,9 +126,15 @@
 const meanBodyBytes = 4 << 10
 
 func newCoordinator(h *homes, metrics *observe.Metrics, now clock, pins *snapshot.Pins) *scatter.Coordinator {
-	return scatter.NewCoordinator(h, metrics, now, pins.Learn)
+	c := scatter.NewCoordinator(h, metrics, now, pins.Learn)
+	c.LostFor = lostFor
+	return c
 }
 
+// lostFor is how long legs of a query that lost others go on: a busy host reads the
+// breaks of connections that were closed together within it.
+const lostFor = 100 * time.Millisecond
+
 func newDesk(s settings.Settings, incarnation ident.Incarnation, store metastore.Store, pool *peer.Pool, members *member.Agent, registry *prometheus.Registry, later *late) (*booking.Desk, error) {
 	desk := booking.NewDesk(booking.Config{
 		Host:        ident.HostID(s.Host.Name),
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -140,7 +140,15 @@
 // Suspected reports whether a death in the service may be the request's
 // doing. A leg that was lost with its server should not be retried then: the
 // caller may send the whole request again.
+//
+// Failure: the death that gives the verdict explains the deaths before it, so that
+// none is open any more. The leg that was lost with it looks innocent, is retried, and
+// takes a third server down after the verdict. The guard holds because a verdict in
+// force is asked for as well.
 func (b *Book) Suspected(now time.Time, f Fingerprint, service string) bool {
+	if b.Judge(now, f) != nil {
+		return true
+	}
 	_, suspected := b.suspectedSince(now, f, service)
 	return suspected
 }
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -251,3 +251,15 @@
 		}
 	})
 }
+
+// A request's second death in a service gives the verdict, and its leg there is lost with
+// it. The home asks whether to retry the leg on the service's third server, which would
+// crash as well. It must not, for as long as the verdict holds; others may be retried.
+func TestLegLostWithTheVerdictIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	b, now := condemnedBook(testBundle())
+	is.True(b.Suspected(now, poison, simService))
+	is.True(b.Suspected(now, poison, "another service"))
+	is.True(!b.Suspected(now, 1, simService))
+	is.True(!b.Suspected(now.Add(10*time.Minute+time.Second), poison, simService))
+}
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -46,6 +46,17 @@
 
 // Coordinator runs queries. It holds no state between them.
 type Coordinator struct {
+	// LostFor is how long the open legs of a query go on that failed for legs that were
+	// lost, or refused as those of a request that may crash servers; 0: they are cancelled
+	// at once. Set it before the first query.
+	//
+	// Failure: a request crashes a server of each of its services. The first legs that
+	// are lost or refused end the query, the others are cancelled a moment before their
+	// connections break, and their homes never ask whether these servers live. It shows
+	// as a request that is sent again and crashes two more servers there before the
+	// restart tells. The guard holds because the break arrives while the attempt is open.
+	LostFor time.Duration
+
 	homes   Homes
 	counter Counter
 	now     func() time.Time
@@ -119,12 +130,31 @@
 		}
 	}
 	r.ended.Store(true)
-	r.cancelRest()
 	answer := r.query.Answer()
+	if c.LostFor > 0 && mayCrash(answer) {
+		time.AfterFunc(c.LostFor, r.cancelRest)
+	} else {
+		r.cancelRest()
+	}
 	answer.Legs = r.legTimes()
 	return answer
 }
 
+// mayCrash reports whether the query has no part of an answer, and legs that were lost
+// without a word or refused since the request may crash servers.
+func mayCrash(answer *Answer) bool {
+	if len(answer.Parts) > 0 {
+		return false
+	}
+	for _, m := range answer.Missing {
+		switch m.Code {
+		case result.OutcomeNotKnown, result.Suspected, result.Quarantined:
+			return true
+		}
+	}
+	return false
+}
+
 // cutOff ends the query if it is time to. At the final cut-off the open legs are
 // cancelled first, and what their homes say of them is taken in.
 //
