--- a/gateway/warming.go
+++ b/gateway/warming.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,14 +58,8 @@
 // that has changed.
 func (w *warming) configure(services map[string]eligible.Warmup, split map[string]bool) bool {
 	w.split = split
-	if len(services) == len(w.services) {
-		same := true
-		for name, warmup := range services {
-			same = same && w.services[name] == warmup
-		}
-		if same {
-			return false
-		}
+	if maps.Equal(services, w.services) {
+		return false
 	}
 	w.services = services
 	return true
