--- a/discover/pace.go
+++ b/discover/pace.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// leastWait and mostWait bound how long one watch waits where up to paceFrom hosts
-	// watch.
+	// leastWait and mostWait bound how long one watch waits where few hosts watch.
 	//
 	// Failure: the store drops its history, or loses track of the watches, and
 	// they hear nothing of a change that was made meanwhile. The guard holds
@@ -25,29 +24,29 @@
 	// calls of all; each makes its part of them.
 	watchersPerCall   = 4
 	watchersPerGather = 3
-	// mostWatches bounds the time of a watch: a host that has lost all others must not
-	// take itself for cut off while a watch that has begun goes on.
-	mostWatches = 2
-	// mostGathers bounds for how long changes are gathered: a host that has lost all
-	// others hears of a server that leaves within a second.
-	mostGathers = 4
+	// mostWatchStretch: a host that has lost all others must not take itself for cut off
+	// while a watch that it began before goes on.
+	mostWatchStretch = 2
+	// mostGatherStretch: a host that has lost all others hears of a server that leaves
+	// within a second.
+	mostGatherStretch = 4
 )
 
-// times is how many times longer each of the watching hosts waits.
-func times(watchers, each, most int) float64 {
+// stretch is how many times longer each of the watching hosts waits.
+func stretch(watchers, each, most int) float64 {
 	return min(max(float64(watchers)/float64(each), 1), float64(most))
 }
 
 // watchFor draws how long the next watch waits.
 func watchFor(watchers int) time.Duration {
 	wait := leastWait + rand.N(mostWait-leastWait)
-	return time.Duration(times(watchers, watchersPerCall, mostWatches) * float64(wait))
+	return time.Duration(stretch(watchers, watchersPerCall, mostWatchStretch) * float64(wait))
 }
 
 // gatherFor draws how long changes are gathered before the next watch, where one host
 // alone would gather them for the usual time. It is drawn from the half of it on, so that
 // the watchers don't all gather at once, when nobody would hear.
 func gatherFor(usual time.Duration, watchers int) time.Duration {
-	most := time.Duration(times(watchers, watchersPerGather, mostGathers) * float64(usual))
+	most := time.Duration(stretch(watchers, watchersPerGather, mostGatherStretch) * float64(usual))
 	return most/2 + rand.N(most/2+1)
 }
--- a/entry/regions_test.go
+++ b/entry/regions_test.go
@@ -36,4 +36,5 @@
 	is.Equal(len(cut.Hosts), 1)
 	is.Equal(string(cut.Hosts[0].ID), "b")
 	is.Equal(len(view.Hosts), 2)
+	is.Equal(InRegion(view, "north", "south"), view)
 }
