--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -212,7 +212,7 @@
 	for i := range h.classes {
 		waiting := h.classes[i].waiting.legs
 		for j := len(waiting) - 1; j >= 0; j-- {
-			if l := waiting[j]; !h.anyInServiceFor(l) {
+			if l := waiting[j]; len(l.Regions) > 0 && !h.anyInServiceFor(l) {
 				acts = h.fail(l, l.failCode(result.NoBackend), noBackendRetry, acts)
 			}
 		}
