--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -129,10 +129,8 @@
 // availability zone; nil: it is not, or nothing is shared.
 func (h *homes) within(zone string) *place.Homes {
 	p := h.current()
-	for _, id := range p.hosts {
-		if host, known := p.of.Find(id); !known || host.Zone != zone {
-			return nil
-		}
+	if !p.all(func(host member.Host) bool { return host.Zone == zone }) {
+		return nil
 	}
 	return p.homes
 }
@@ -143,9 +141,13 @@
 	if len(regions) == 0 {
 		return true
 	}
-	p := h.current()
+	return h.current().all(func(host member.Host) bool { return eligible.InRegions(regions, host.Region) })
+}
+
+// all reports whether the condition holds for every host that shares services.
+func (p *placement) all(holds func(member.Host) bool) bool {
 	for _, id := range p.hosts {
-		if host, known := p.of.Find(id); !known || !eligible.InRegions(regions, host.Region) {
+		if host, known := p.of.Find(id); !known || !holds(host) {
 			return false
 		}
 	}
