--- a/discover/follower.go
+++ b/discover/follower.go
@@ -49,6 +49,8 @@
 	// start of many servers costs each host a few calls; nil or 0: not at all. Where
 	// many hosts watch it is longer, see gatherFor.
 	Settle func() time.Duration
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Hint says that peers know the changes up to a revision.
@@ -68,11 +70,13 @@
 	heardAt  atomic.Int64 // nanoseconds since 1970; 0: never
 	known    atomic.Pointer[known]
 	hints    chan Hint
+	// listReason is why the next list is read.
+	listReason listReason
 }
 
 // NewFollower makes a follower; Run starts it.
 func NewFollower(config Config) *Follower {
-	return &Follower{config: config, mirror: NewMirror(), hints: make(chan Hint, 1)}
+	return &Follower{config: config, mirror: NewMirror(), hints: make(chan Hint, 1), listReason: listAtStart}
 }
 
 // Listed reports whether a whole list is known.
@@ -109,9 +113,11 @@
 			return nil
 		}
 		if errors.Is(err, metastore.ErrHistoryGone) {
+			f.listReason = listWithoutHistory
 			f.config.Logger.Info("the store's history is gone, listing anew", f.where(err)...)
 			continue
 		}
+		f.listReason = listAfterLoss
 		f.mirror.Lost()
 		f.config.Logger.Warn("lost the metadata store", f.where(err)...)
 		f.pause(ctx, retry)
@@ -217,14 +223,14 @@
 		return err
 	}
 	regained := f.mirror.lost
+	f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.String("reason", string(f.listReason)),
+		zap.Uint64("store_revision", revision), zap.Int("objects", len(objects)))...)
+	f.config.Metrics.noteList(f.config.Prefix, f.listReason)
+	f.config.Metrics.noteRevision(f.config.Prefix, revision)
 	f.heard()
 	f.advance(revision)
 	changed := f.mirror.Replace(f.config.Now(), objects, revision)
-	first := !f.Listed()
-	if first || regained {
-		f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.Int("objects", len(objects)))...)
-	}
-	f.apply(changed || first || regained)
+	f.apply(changed || !f.Listed() || regained)
 	// Only now: a host that is ready before it has applied the list refuses its
 	// first requests for lack of servers.
 	f.listed.Store(true)
@@ -255,6 +261,7 @@
 				return w.err
 			}
 			f.heard()
+			f.config.Metrics.noteRevision(f.config.Prefix, w.revision)
 			f.advance(w.revision)
 			f.apply(f.mirror.Change(f.config.Now(), w.objects, w.revision))
 			f.settle(ctx, len(w.objects))
--- /dev/null
+++ b/discover/metrics.go
@@ -0,0 +1,58 @@
+package discover
+
+import (
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// listReason says why a whole list is read from the metadata store.
+type listReason string
+
+const (
+	listAtStart        listReason = "start"
+	listAfterLoss      listReason = "store_lost"
+	listWithoutHistory listReason = "history_gone"
+	metricsNamespace              = "goldcrestspan"
+	labelPrefix                   = "prefix"
+	labelReason                   = "reason"
+)
+
+// Metrics are the counters of a host's Followers.
+type Metrics struct {
+	lists    *prometheus.CounterVec
+	revision *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry *prometheus.Registry) (*Metrics, error) {
+	m := &Metrics{
+		lists: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "store_lists_total",
+			Help: "Whole lists read from the metadata store, by prefix and reason.",
+		}, []string{labelPrefix, labelReason}),
+		revision: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "store_revision",
+			Help: "Revision that the metadata store's last list or watch came with, by prefix.",
+		}, []string{labelPrefix}),
+	}
+	for _, c := range []prometheus.Collector{m.lists, m.revision} {
+		if err := registry.Register(c); err != nil {
+			return nil, errors.Wrap(err, "metrics of the metadata store")
+		}
+	}
+	return m, nil
+}
+
+// noteList counts a list; m may be nil.
+func (m *Metrics) noteList(prefix string, reason listReason) {
+	if m != nil {
+		m.lists.WithLabelValues(prefix, string(reason)).Inc()
+	}
+}
+
+// noteRevision notes the store's revision; m may be nil.
+func (m *Metrics) noteRevision(prefix string, revision uint64) {
+	if m != nil {
+		m.revision.WithLabelValues(prefix).Set(float64(revision))
+	}
+}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -29,6 +29,7 @@
 	Homes        *homeserver.Server
 	Coordinators coordinators
 	Relay        *discover.Relay
+	StoreMetrics *discover.Metrics
 	Peers        *peer.Server
 	FarServer    *farServer
 	HomeLegs     *homeLegs
@@ -47,6 +48,7 @@
 		func() *peer.Pool { return peer.NewPool(nil) },
 		peer.NewServer,
 		discover.NewRelay,
+		discover.NewMetrics,
 		g.newMembers,
 		g.newFarRunner,
 		func() (*farServer, error) {
@@ -63,7 +65,9 @@
 			return err
 		}
 	}
+	var storeMetrics *discover.Metrics
 	err := container.Invoke(func(b built) {
+		storeMetrics = b.StoreMetrics
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
 		g.coordinators, g.relay = b.Coordinators, b.Relay
 		g.peers, g.farServer = b.Peers, b.FarServer
@@ -81,11 +85,11 @@
 	if err := legs.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	g.configs = g.newFollower(g.options.ConfigKey, nil, g.applyConfigs)
-	g.servers = g.newFollower(g.options.ServersPrefix, g.settleServers, g.applyServers)
+	g.configs = g.newFollower(storeMetrics, g.options.ConfigKey, nil, g.applyConfigs)
+	g.servers = g.newFollower(storeMetrics, g.options.ServersPrefix, g.settleServers, g.applyServers)
 	followers := []*discover.Follower{g.configs, g.servers}
 	if g.options.EvacuationsPrefix != "" {
-		g.evacuationList = g.newFollower(g.options.EvacuationsPrefix, nil, g.applyEvacuations)
+		g.evacuationList = g.newFollower(storeMetrics, g.options.EvacuationsPrefix, nil, g.applyEvacuations)
 		followers = append(followers, g.evacuationList)
 	} else {
 		g.setEvacuations(nil, 0)
@@ -200,10 +204,11 @@
 	return serversSettle
 }
 
-func (g *Gateway) newFollower(prefix string, settle func() time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
+func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, settle func() time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
 		Relay: g.relay, Watches: g.watches, Watchers: g.watchers, Joined: g.members.Joined, Settle: settle, StaleStart: prefix != g.options.ConfigKey,
+		Metrics: metrics,
 	})
 }
 
