--- a/discover/follower.go
+++ b/discover/follower.go
@@ -49,6 +49,9 @@
 	// start of many servers costs each host a few calls; nil or 0: not at all. Where
 	// many hosts watch it is longer, see gatherFor.
 	Settle func() time.Duration
+	// Order tells which of two writes of an object is older where the store's revisions
+	// can't, since it was restored from a backup; nil: nothing does.
+	Order OrderOf
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -76,7 +79,7 @@
 
 // NewFollower makes a follower; Run starts it.
 func NewFollower(config Config) *Follower {
-	return &Follower{config: config, mirror: NewMirror(), hints: make(chan Hint, 1), listReason: listAtStart}
+	return &Follower{config: config, mirror: NewMirror(config.Order), hints: make(chan Hint, 1), listReason: listAtStart}
 }
 
 // Listed reports whether a whole list is known.
@@ -127,7 +130,7 @@
 }
 
 func (f *Follower) where(err error) []zap.Field {
-	return []zap.Field{zap.String("prefix", f.config.Prefix), zap.Uint64("revision", f.revision.Load()), observe.Reason(err)}
+	return []zap.Field{zap.String("prefix", f.config.Prefix), observe.Revision("revision", f.revision.Load()), observe.Reason(err)}
 }
 
 // followOnce lists and then follows the store or the peers, until an error.
@@ -224,7 +227,7 @@
 	}
 	regained := f.mirror.lost
 	f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.String("reason", string(f.listReason)),
-		zap.Uint64("store_revision", revision), zap.Int("objects", len(objects)))...)
+		observe.Revision("store_revision", revision), zap.Int("objects", len(objects)))...)
 	f.config.Metrics.noteList(f.config.Prefix, f.listReason)
 	f.config.Metrics.noteRevision(f.config.Prefix, revision)
 	f.heard()
@@ -302,7 +305,7 @@
 		}
 		got, err := f.config.Relay.ask(ctx, address, f.config.Prefix, f.revision.Load())
 		if err != nil {
-			f.config.Logger.Warn("a peer did not tell what has changed", append(f.where(err), zap.Uint64("peers_revision", hint.Revision))...)
+			f.config.Logger.Warn("a peer did not tell what has changed", append(f.where(err), observe.Revision("peers_revision", hint.Revision))...)
 			continue
 		}
 		f.take(got, address)
--- a/discover/metrics.go
+++ b/discover/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // listReason says why a whole list is read from the metadata store.
@@ -21,6 +23,7 @@
 type Metrics struct {
 	lists    *prometheus.CounterVec
 	revision *prometheus.GaugeVec
+	era      *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -32,10 +35,14 @@
 		}, []string{labelPrefix, labelReason}),
 		revision: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsNamespace, Name: "store_revision",
-			Help: "Revision that the metadata store's last list or watch came with, by prefix.",
+			Help: "Revision that the metadata store's last list or watch came with, within its era, by prefix.",
+		}, []string{labelPrefix}),
+		era: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "store_era",
+			Help: "Era of the metadata store's last list or watch, by prefix; it rises when the store is restored.",
 		}, []string{labelPrefix}),
 	}
-	for _, c := range []prometheus.Collector{m.lists, m.revision} {
+	for _, c := range []prometheus.Collector{m.lists, m.revision, m.era} {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "metrics of the metadata store")
 		}
@@ -53,6 +60,7 @@
 // noteRevision notes the store's revision; m may be nil.
 func (m *Metrics) noteRevision(prefix string, revision uint64) {
 	if m != nil {
-		m.revision.WithLabelValues(prefix).Set(float64(revision))
+		m.revision.WithLabelValues(prefix).Set(float64(metastore.Counter(revision)))
+		m.era.WithLabelValues(prefix).Set(float64(metastore.Era(revision)))
 	}
 }
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -32,11 +32,12 @@
 	goneSince uint64
 	// doubtUntil: removals before it are held back until then.
 	doubtUntil time.Time
+	order      OrderOf
 }
 
-// NewMirror makes an empty mirror.
-func NewMirror() *Mirror {
-	return &Mirror{objects: make(map[string]metastore.Object), removing: make(map[string]time.Time), gone: make(map[string]uint64)}
+// NewMirror makes an empty mirror; order may be nil.
+func NewMirror(order OrderOf) *Mirror {
+	return &Mirror{order: order, objects: make(map[string]metastore.Object), removing: make(map[string]time.Time), gone: make(map[string]uint64)}
 }
 
 // Lost notes that the store can't be heard.
@@ -102,13 +103,14 @@
 	return changed
 }
 
-// set takes one object in. An older revision than the one held is left: a reply
-// that was long on its way must not bring an old configuration back.
+// set takes one object in. An older revision than the one held is left, and so is an
+// older write: neither a reply that was long on its way nor a restored store may bring an
+// old configuration back.
 func (m *Mirror) set(object metastore.Object) bool {
 	delete(m.removing, object.Key)
 	delete(m.gone, object.Key)
 	held, known := m.objects[object.Key]
-	if known && object.Revision <= held.Revision {
+	if known && (object.Revision <= held.Revision || m.order.outdated(object, held)) {
 		return false
 	}
 	m.objects[object.Key] = object
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 // evacuations are the availability zones that the operator has taken out of use, as the
@@ -49,7 +50,7 @@
 	g.evacuations.known = next
 	g.evacuations.zones.Set(float64(len(zones)))
 	for _, change := range changes {
-		g.log.Info("evacuation of a zone", zap.String("zone", change.Zone), zap.Bool("evacuated", change.Evacuated), zap.Uint64("revision", revision))
+		g.log.Info("evacuation of a zone", zap.String("zone", change.Zone), zap.Bool("evacuated", change.Evacuated), observe.Revision("revision", revision))
 	}
 	if first || len(changes) > 0 {
 		g.publishServers()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,9 @@
 type Decoder interface {
 	Config(object metastore.Object) (*route.Config, error)
 	Server(object metastore.Object) (ServerEntry, error)
+	// Order reads the order of the write of a configuration or a server's entry; false:
+	// it can't be read.
+	Order(object metastore.Object) (discover.WriteOrder, bool)
 }
 
 // Backends runs calls at backend servers over connections that it keeps.
@@ -276,12 +279,12 @@
 	}
 	config, err := g.options.Decode.Config(object)
 	if err != nil {
-		g.log.Error("configuration can't be read, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
+		g.log.Error("configuration can't be read, the one before stays in force", observe.Revision("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
 	next, err := newConfiguration(object.Revision, config)
 	if err != nil {
-		g.log.Error("configuration is not valid, the one before stays in force", zap.Uint64("revision", object.Revision), zap.String("source", source), observe.Reason(err))
+		g.log.Error("configuration is not valid, the one before stays in force", observe.Revision("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
 	g.inForce.Store(next)
@@ -291,7 +294,7 @@
 	g.toldForecasts.forget(next.names)
 	g.countZones()
 	g.announce()
-	g.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("revision", object.Revision),
+	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
 		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
 }
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -208,7 +208,7 @@
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
 		Relay: g.relay, Watches: g.watches, Watchers: g.watchers, Joined: g.members.Joined, Settle: settle, StaleStart: prefix != g.options.ConfigKey,
-		Metrics: metrics,
+		Order: g.options.Decode.Order, Metrics: metrics,
 	})
 }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -153,14 +153,14 @@
 	g.serverStates[object.Key] = state
 	switch {
 	case err != nil:
-		g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), zap.Uint64("revision", object.Revision), observe.Reason(err))
+		g.log.Warn("backend server's entry can't be read and is left out", zap.String("key", object.Key), observe.Revision("revision", object.Revision), observe.Reason(err))
 	case earlier:
-		g.log.Info("backend server's entry is of an earlier start and is left out", zap.String("server", entry.Name), zap.Uint64("incarnation", entry.Incarnation), zap.Uint64("revision", object.Revision))
+		g.log.Info("backend server's entry is of an earlier start and is left out", zap.String("server", entry.Name), zap.Uint64("incarnation", entry.Incarnation), observe.Revision("revision", object.Revision))
 	case !seen || !before.entry.sameState(entry):
 		g.dropConnections(before.entry, entry)
 		g.log.Info("backend server", zap.String("server", entry.Name), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Uint64("incarnation", entry.Incarnation),
-			zap.Bool("leaving", entry.Leaving), zap.Duration("cold_for", entry.ColdFor), zap.Uint64("revision", object.Revision))
+			zap.Bool("leaving", entry.Leaving), zap.Duration("cold_for", entry.ColdFor), observe.Revision("revision", object.Revision))
 	}
 }
 
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -23,7 +23,8 @@
 	// ErrAmbiguous: a write was sent and its reply was lost. It may have taken
 	// effect; the writer must read back before it says anything.
 	ErrAmbiguous = errors.New("metastore: write outcome unknown")
-	// ErrHistoryGone: the store no longer knows the changes after a revision.
+	// ErrHistoryGone: the store no longer knows the changes after a revision, or was
+	// restored from a backup since.
 	ErrHistoryGone = errors.New("metastore: history is gone")
 	// ErrTooLarge: the value is over MaxValueBytes; nothing was written.
 	ErrTooLarge = errors.New("metastore: value too large")
@@ -35,7 +36,8 @@
 	Value []byte `json:"value"`
 	// Version changes with each write of the key; 0 means that it does not exist.
 	Version uint64 `json:"version"`
-	// Revision orders the writes of the whole store; Watch continues from it.
+	// Revision orders the writes of the whole store, see NewRevision; Watch continues
+	// from it.
 	Revision uint64 `json:"revision"`
 }
 
--- /dev/null
+++ b/metastore/revision_test.go
@@ -0,0 +1,29 @@
+package metastore
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a restored store whose first changes count as older than those it lost.
+func TestRevisionsOrderChangesAcrossRestores(t *testing.T) {
+	is := is.New(t)
+	before, err := NewRevision(1, 63)
+	is.NoErr(err)
+	after, err := NewRevision(2, 50)
+	is.NoErr(err)
+	is.True(after > before)
+	is.Equal(Era(after), uint64(2))
+	is.Equal(Counter(after), uint64(50))
+	is.Equal(FormatRevision(after), "2/50")
+}
+
+// Guards against a counter that spills into the era, which would look like a restore.
+func TestRevisionOutOfRangeIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := NewRevision(0, maxCounter+1)
+	is.True(err != nil)
+	_, err = NewRevision(maxEra+1, 0)
+	is.True(err != nil)
+}
--- a/observe/log.go
+++ b/observe/log.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 // NewLogger makes the host's logger, which writes to standard error. Level is
@@ -31,3 +33,8 @@
 	}
 	return zap.String("error", err.Error())
 }
+
+// Revision is a revision of the metadata store as a field: its era, a slash and its counter.
+func Revision(key string, revision uint64) zap.Field {
+	return zap.String(key, metastore.FormatRevision(revision))
+}
