--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -26,8 +26,7 @@
 	lost     bool
 	listed   bool // a whole list was taken in
 	// gone holds at which revision of the store objects were found gone, for
-	// peers; it is complete for those after goneSince, at first that of the first
-	// whole list.
+	// peers; it is complete for those after goneSince, see begin.
 	gone      map[string]uint64
 	goneSince uint64
 	// doubtUntil: removals before it are held back until then.
@@ -60,7 +59,7 @@
 // whether there is anything new for this host or for peers.
 func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision uint64) bool {
 	m.heard(now)
-	m.forgetBefore(revision)
+	m.begin(now, revision)
 	changed := false
 	present := make(map[string]bool, len(listed))
 	for _, object := range listed {
@@ -75,17 +74,23 @@
 	return changed
 }
 
-// forgetBefore notes with the first whole list that what was removed before it
-// is not known.
+// begin notes where the removals that are remembered begin: with the first whole list, and
+// with the first one of each era of the store.
 //
-// Failure: a server leaves while a host is restarted. A peer that missed the
-// removal asks the new life, hears of nothing removed, takes the list's revision
-// for its own, and sends requests to the server for good. The guard holds because
-// a peer from before the first list is given everything.
-func (m *Mirror) forgetBefore(revision uint64) {
-	if !m.listed {
-		m.listed, m.goneSince = true, revision
+// A peer from before that revision is given everything. Otherwise it would keep what was
+// removed in the meantime, or what a restored store has lost, and take the revision for
+// its own. Whoever had written what the store has lost writes it again, so removals are
+// held back.
+func (m *Mirror) begin(now time.Time, revision uint64) {
+	restored := m.listed && metastore.Era(revision) != metastore.Era(m.goneSince)
+	if m.listed && !restored {
+		return
 	}
+	if restored {
+		m.doubtUntil = now.Add(returnGrace)
+		clear(m.gone)
+	}
+	m.listed, m.goneSince = true, revision
 }
 
 // Change takes in changed objects up to the revision and reports whether there
--- a/discover/mirror_test.go
+++ b/discover/mirror_test.go
@@ -120,3 +120,42 @@
 	is.Equal(keys(behind), []string{"a", "c"})
 	is.True(!restarted.known(restarted.Objects(), 18).after(16).whole) // from there on it knows all
 }
+
+// inEra is a revision of an era of the store.
+func inEra(era, counter uint64) uint64 {
+	revision, err := metastore.NewRevision(era, counter)
+	if err != nil {
+		panic(err) // a test's own values
+	}
+	return revision
+}
+
+// Guards against servers dropped for what a restored store has lost of them.
+func TestServersThatABackupLacksAreKeptForAMoment(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	m := NewMirror(nil)
+	m.Replace(now, []metastore.Object{object("a", inEra(1, 1)), object("b", inEra(1, 8)), object("c", inEra(1, 9))}, inEra(1, 9))
+	m.Replace(now, []metastore.Object{object("a", inEra(2, 1))}, inEra(2, 5))
+	is.Equal(keys(m), []string{"a", "b", "c"})
+	m.Change(now.Add(time.Second), []metastore.Object{object("b", inEra(2, 6))}, inEra(2, 6))
+	is.True(m.Tick(now.Add(returnGrace)))
+	is.Equal(keys(m), []string{"a", "b"}) // c did not write again
+}
+
+// Guards against a peer that keeps for good what only it had heard of before the restore.
+func TestPeerOfAnEarlierEraIsToldEverything(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	watcher, peer := NewMirror(nil), NewMirror(nil)
+	a := object("a", inEra(1, 1))
+	watcher.Replace(now, []metastore.Object{a}, inEra(1, 5))
+	peer.Replace(now, []metastore.Object{a, object("b", inEra(1, 6))}, inEra(1, 6))
+	watcher.Replace(now, []metastore.Object{object("a", inEra(2, 1))}, inEra(2, 5))
+	c := watcher.known(watcher.Objects(), inEra(2, 5)).after(inEra(1, 6))
+	is.True(c.whole)
+	peer.Replace(now, c.objects, c.revision)
+	is.Equal(keys(peer), []string{"a", "b"}) // b may be written again
+	is.True(peer.Tick(now.Add(returnGrace)))
+	is.Equal(keys(peer), []string{"a"})
+}
