--- a/discover/follower.go
+++ b/discover/follower.go
@@ -110,19 +110,24 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	retry := firstRetry
+	forgotten := 0 // times in a row that the store did not know what came after the revision
 	for ctx.Err() == nil {
-		err := f.followOnce(ctx, func() { retry = firstRetry })
+		err := f.followOnce(ctx, func() { retry, forgotten = firstRetry, 0 })
 		if ctx.Err() != nil {
 			return nil
 		}
 		if errors.Is(err, metastore.ErrHistoryGone) {
+			forgotten++
 			f.listReason = listWithoutHistory
 			f.config.Logger.Info("the store's history is gone, listing anew", f.where(err)...)
-			continue
+			if forgotten == 1 {
+				continue
+			}
+		} else {
+			f.listReason = listAfterLoss
+			f.mirror.Lost()
+			f.config.Logger.Warn("lost the metadata store", f.where(err)...)
 		}
-		f.listReason = listAfterLoss
-		f.mirror.Lost()
-		f.config.Logger.Warn("lost the metadata store", f.where(err)...)
 		f.pause(ctx, retry)
 		retry = min(2*retry, mostRetry)
 	}
@@ -133,7 +138,9 @@
 	return []zap.Field{zap.String("prefix", f.config.Prefix), observe.Revision("revision", f.revision.Load()), observe.Reason(err)}
 }
 
-// followOnce lists and then follows the store or the peers, until an error.
+// followOnce lists and then follows the store or the peers, until an error. It calls well
+// whenever a watch was answered or peers were followed: a list alone may be followed by a
+// watch that fails.
 func (f *Follower) followOnce(ctx context.Context, well func()) error {
 	if !f.startFromPeers(ctx) {
 		first := !f.Listed()
@@ -145,15 +152,16 @@
 		}
 	}
 	for ctx.Err() == nil {
-		well()
 		if f.config.Watches() {
 			if err := f.watch(ctx); err != nil {
 				return err
 			}
+			well()
 			continue
 		}
 		f.config.Logger.Info("following peers", f.where(nil)...)
 		f.followPeers(ctx)
+		well()
 		f.config.Logger.Info("watching the metadata store", f.where(nil)...)
 	}
 	return ctx.Err()
--- /dev/null
+++ b/discover/retry_test.go
@@ -0,0 +1,51 @@
+package discover
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/standin"
+)
+
+// forgetful answers lists and knows no history.
+type forgetful struct{ metastore.Store }
+
+// callTime is how long one call takes.
+const callTime = 4 * time.Millisecond
+
+func (forgetful) Watch(context.Context, string, uint64) ([]metastore.Object, uint64, error) {
+	time.Sleep(callTime)
+	return nil, 0, metastore.ErrHistoryGone
+}
+
+// Guards against a host that reads a store without history in a loop without a pause.
+func TestStoreWithoutHistoryIsListedWithBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			watched = 20 * time.Second
+			// mostLists: one each mostRetry, and those while the pause grows.
+			mostLists = int(watched/mostRetry) + 6
+		)
+		is := is.New(t)
+		store := &countedStore{Store: forgetful{standin.NewPlatform()}}
+		f := NewFollower(Config{
+			Store: store, Prefix: "config", Now: time.Now, Logger: zap.NewNop(),
+			Watches: func() bool { return true },
+			Apply:   func([]metastore.Object, uint64) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(watched)
+		cancel()
+		is.NoErr(<-done)
+		is.True(store.lists <= mostLists)
+		is.True(store.lists >= int(watched/mostRetry)-1) // the newest is known within a second
+	})
+}
