--- a/discover/follower.go
+++ b/discover/follower.go
@@ -239,15 +239,30 @@
 	f.config.Metrics.noteList(f.config.Prefix, f.listReason)
 	f.config.Metrics.noteRevision(f.config.Prefix, revision)
 	f.heard()
+	rewound := f.listReason == listWithoutHistory && f.rewind(revision)
 	f.advance(revision)
 	changed := f.mirror.Replace(f.config.Now(), objects, revision)
-	f.apply(changed || !f.Listed() || regained)
+	f.apply(changed || rewound || !f.Listed() || regained)
 	// Only now: a host that is ready before it has applied the list refuses its
 	// first requests for lack of servers.
 	f.listed.Store(true)
 	return nil
 }
 
+// rewind takes back a revision that the store refused and that its list does not reach in
+// the same era, and reports whether it was one. A first list that was stale may hold what
+// a restored store has lost.
+func (f *Follower) rewind(listed uint64) bool {
+	known := f.revision.Load()
+	if listed >= known || metastore.Era(listed) != metastore.Era(known) {
+		return false
+	}
+	f.config.Logger.Warn("the metadata store is behind what is known, its list is taken", append(f.where(nil), observe.Revision("store_revision", listed))...)
+	f.revision.Store(listed)
+	f.mirror.Rewind(listed)
+	return true
+}
+
 type watched struct {
 	objects  []metastore.Object
 	revision uint64
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -93,6 +93,18 @@
 	m.listed, m.goneSince = true, revision
 }
 
+// Rewind makes the objects from above the revision older than any that the store hands out.
+func (m *Mirror) Rewind(revision uint64) {
+	for key, held := range m.objects {
+		if held.Revision > revision {
+			held.Revision = 0
+			m.objects[key] = held
+		}
+	}
+	clear(m.gone)
+	m.goneSince = revision
+}
+
 // Change takes in changed objects up to the revision and reports whether there
 // is anything new for this host or for peers.
 func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision uint64) bool {
--- a/discover/start_test.go
+++ b/discover/start_test.go
@@ -88,3 +88,53 @@
 func (brokenWatches) Watch(context.Context, string, uint64) ([]metastore.Object, uint64, error) {
 	return nil, 0, metastore.ErrUnavailable
 }
+
+// backupStore was restored to a revision below that of its stale list.
+type backupStore struct {
+	metastore.Store
+	stale, now          []metastore.Object
+	staleAt, restoredAt uint64
+}
+
+func (s *backupStore) ListStale(context.Context, string) ([]metastore.Object, uint64, error) {
+	return s.stale, s.staleAt, nil
+}
+
+func (s *backupStore) List(context.Context, string) ([]metastore.Object, uint64, error) {
+	return s.now, s.restoredAt, nil
+}
+
+func (s *backupStore) Watch(ctx context.Context, _ string, after uint64) ([]metastore.Object, uint64, error) {
+	if after > s.restoredAt {
+		return nil, after, metastore.ErrHistoryGone
+	}
+	<-ctx.Done()
+	return nil, after, nil
+}
+
+// Guards against a host that starts after a restore, lists stale objects from before it, and
+// holds them for newer than what the store has.
+func TestStaleListFromBeforeARestoreIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &backupStore{
+			stale: []metastore.Object{object("servers/a", inEra(2, 60)), object("servers/b", inEra(2, 20))}, staleAt: inEra(2, 63),
+			now: []metastore.Object{object("servers/a", inEra(2, 45)), object("servers/b", inEra(2, 20))}, restoredAt: inEra(2, 50),
+		}
+		var heard []metastore.Object
+		f := NewFollower(Config{
+			Store: store, Prefix: "servers/", Now: time.Now, Logger: zap.NewNop(), StaleStart: true,
+			Watches: func() bool { return true },
+			Apply:   func(objects []metastore.Object, _ uint64) { heard = objects },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		cancel()
+		is.NoErr(<-done)
+		is.Equal(f.Revision(), inEra(2, 50))
+		is.Equal(heard[0].Revision, inEra(2, 45))
+		is.Equal(f.known.Load().revision, inEra(2, 50))
+	})
+}
