--- a/gateway/register.go
+++ b/gateway/register.go
@@ -34,32 +34,36 @@
 	watcherCheck = 5 * time.Second
 )
 
-// register writes this host's entry, once, if it is one of those that watch the
-// store, and asks for the others' when no peer of the settings answers. The
-// store so sees a few calls for each start of a fleet, however large.
+// register writes this host's entry if it is one of those that watch the store, and
+// asks for the others' when no peer of the settings answers. It does so once, and again
+// when the store was restored, which may have lost the entry. The store so sees a few
+// calls for each start of a fleet, however large.
 func (g *Gateway) register(ctx context.Context) error {
 	if wait.For(ctx, joinWait) && g.members.Joined() {
 		wait.For(ctx, meetWait)
 	}
+	registered, era := false, uint64(0)
 	for pause := time.Duration(0); wait.For(ctx, pause); {
 		pause = watcherCheck
-		if !g.watches() {
+		if registered && metastore.Era(g.configs.Revision()) <= era || !g.watches() {
 			continue
 		}
-		err := g.registerOnce(ctx)
-		if err == nil {
-			return nil
+		written, err := g.registerOnce(ctx)
+		if err != nil {
+			g.log.Warn("registration failed and is tried again", observe.Reason(err))
+			pause = registerRetry
+			continue
 		}
-		g.log.Warn("registration failed and is tried again", observe.Reason(err))
-		pause = registerRetry
+		registered, era = true, metastore.Era(written)
 	}
 	return nil
 }
 
-func (g *Gateway) registerOnce(ctx context.Context) error {
+// registerOnce returns the revision of this host's entry.
+func (g *Gateway) registerOnce(ctx context.Context) (uint64, error) {
 	entries, _, err := g.options.Store.List(ctx, g.options.HostsPrefix)
 	if err != nil {
-		return errors.Wrap(err, "list hosts")
+		return 0, errors.Wrap(err, "list hosts")
 	}
 	own := hostEntry{PeerAddress: g.options.Peers.Addr().String()}
 	key := g.options.HostsPrefix + g.options.Name
@@ -82,12 +86,12 @@
 	g.members.AddSeeds(seeds)
 	value, err := json.Marshal(own)
 	if err != nil {
-		return errors.Wrap(err, "encode own entry")
+		return 0, errors.Wrap(err, "encode own entry")
 	}
-	_, err = g.options.Store.Put(ctx, key, value, version)
+	written, err := g.options.Store.Put(ctx, key, value, version)
 	if errors.Is(err, metastore.ErrConflict) {
-		return errors.Wrap(err, "own entry was written meanwhile")
+		return 0, errors.Wrap(err, "own entry was written meanwhile")
 	}
 	g.log.Info("registered", zap.Int("hosts_listed", len(entries)), observe.Reason(err))
-	return errors.Wrap(err, "write own entry")
+	return written.Revision, errors.Wrap(err, "write own entry")
 }
