--- a/discover/follower.go
+++ b/discover/follower.go
@@ -60,6 +60,9 @@
 type Hint struct {
 	Peers    []string // addresses of peers to ask, in this order
 	Revision uint64
+	// Newer: they know newer writes than this host by what the writers say, whatever the
+	// revisions.
+	Newer bool
 }
 
 // Follower keeps a Mirror of the objects below a prefix: one list, then watches
@@ -322,25 +325,42 @@
 // ask takes what peers know and reports whether that was something new.
 func (f *Follower) ask(ctx context.Context, hint Hint) bool {
 	own := f.revision.Load()
+	found := false // the newer writes
 	for _, address := range hint.Peers {
-		if hint.Revision <= f.revision.Load() {
-			break
+		after := f.revision.Load()
+		if hint.Revision <= after {
+			if !hint.Newer || found {
+				break
+			}
+			after = 0 // everything: the newer writes may have revisions below the one known
 		}
-		got, err := f.config.Relay.ask(ctx, address, f.config.Prefix, f.revision.Load())
+		got, err := f.config.Relay.ask(ctx, address, f.config.Prefix, after)
 		if err != nil {
 			f.config.Logger.Warn("a peer did not tell what has changed", append(f.where(err), observe.Revision("peers_revision", hint.Revision))...)
 			continue
 		}
-		f.take(got, address)
+		if got.revision > f.revision.Load() {
+			f.take(got, address)
+			continue
+		}
+		found = f.takeNewer(got, address) || found
 	}
 	return f.revision.Load() > own
 }
 
+// takeNewer takes from a peer the writes that are newer than those known, and reports
+// whether there were any.
+func (f *Follower) takeNewer(got changes, address string) bool {
+	changed := f.mirror.TakeNewer(got.objects)
+	if changed {
+		f.config.Logger.Info("heard from a peer what the store has lost", append(f.where(nil), zap.String("peer", address))...)
+	}
+	f.apply(changed)
+	return changed
+}
+
 // take takes a peer's changes in.
 func (f *Follower) take(got changes, address string) {
-	if got.revision <= f.revision.Load() {
-		return
-	}
 	f.advance(got.revision)
 	f.mirror.Doubt(f.config.Now().Add(got.doubt))
 	changed := false
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -93,6 +93,20 @@
 	m.listed, m.goneSince = true, revision
 }
 
+// TakeNewer takes in the objects that were written after those held, by what their writers
+// say, whatever their revisions; it reports whether there were any.
+func (m *Mirror) TakeNewer(objects []metastore.Object) bool {
+	changed := false
+	for _, object := range objects {
+		held, known := m.objects[object.Key]
+		if known && m.order.outdated(held, object) {
+			m.objects[object.Key] = object
+			changed = true
+		}
+	}
+	return changed
+}
+
 // Rewind makes the objects from above the revision older than any that the store hands out.
 func (m *Mirror) Rewind(revision uint64) {
 	for key, held := range m.objects {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -108,6 +108,9 @@
 	return c, nil
 }
 
+// version is the operator's.
+func (c *configuration) version() uint64 { return c.table.Config.Version }
+
 // names reports whether the configuration names the service.
 func (c *configuration) names(service string) bool {
 	_, named := c.homes.Service(service)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,16 +265,12 @@
 	}
 }
 
-// applyConfig puts a configuration from the store or a peer in force, unless a
-// newer one is.
-//
-// Failure: a reply that was long on its way, or a peer that is behind, brings
-// the configuration before the present one; routes that are gone come back.
-// The guard holds because the store's revision of the object only rises, and
-// every way in passes here.
+// applyConfig puts a configuration from the store or a peer in force, unless a newer one
+// is. Every way in passes here. The operator's version only rises; the store's revision
+// goes back with the store, and a peer may know a version that the store has lost.
 func (g *Gateway) applyConfig(object metastore.Object, source string) {
 	before := g.inForce.Load()
-	if before != nil && object.Revision <= before.revision {
+	if before != nil && object.Revision == before.revision {
 		return
 	}
 	config, err := g.options.Decode.Config(object)
@@ -282,6 +278,10 @@
 		g.log.Error("configuration can't be read, the one before stays in force", observe.Revision("revision", object.Revision), zap.String("source", source), observe.Reason(err))
 		return
 	}
+	if before != nil && config.Version < before.version() {
+		g.log.Warn("older configuration is left out", zap.Uint64("version", config.Version), zap.Uint64("in_force", before.version()), observe.Revision("revision", object.Revision))
+		return
+	}
 	next, err := newConfiguration(object.Revision, config)
 	if err != nil {
 		g.log.Error("configuration is not valid, the one before stays in force", observe.Revision("revision", object.Revision), zap.String("source", source), observe.Reason(err))
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -76,10 +76,12 @@
 // guard holds because every message between hosts carries these revisions, so
 // one host that hears the store makes all others ask.
 func (g *Gateway) announce() {
+	known := member.StoreRevisions{Servers: g.serversAt.Load(), Evacuations: g.evacuationsAt.Load()}
 	if c := g.inForce.Load(); c != nil {
 		g.members.AnnounceConfig(c.revision, nil)
+		known.ConfigVersion = c.version()
 	}
-	g.members.AnnounceStore(member.StoreRevisions{Servers: g.serversAt.Load(), Evacuations: g.evacuationsAt.Load()})
+	g.members.AnnounceStore(known)
 }
 
 // heardNews hears what a peer knows; it runs on the members' control loop.
@@ -89,7 +91,7 @@
 	if g.evacuationList != nil {
 		g.evacuationList.Hear(discover.Hint{Peers: peers, Revision: news.Store.Evacuations})
 	}
-	g.configs.Hear(discover.Hint{Peers: peers, Revision: news.Generation})
+	g.configs.Hear(discover.Hint{Peers: peers, Revision: news.Generation, Newer: g.isBehind(news.Store.ConfigVersion)})
 	// What is known already, without a change, is told on.
 	known := noteKnown(g.servers, &g.serversAt, news.Store.Servers)
 	known = noteKnown(g.evacuationList, &g.evacuationsAt, news.Store.Evacuations) || known
@@ -98,6 +100,13 @@
 	}
 }
 
+// isBehind reports whether an older version than the peer's is in force here: the store
+// that this host has listed was restored, and the peer knows what it has lost.
+func (g *Gateway) isBehind(peersVersion uint64) bool {
+	c := g.inForce.Load()
+	return c != nil && c.version() < peersVersion
+}
+
 // noteKnown raises the revision of the newest change to the one told if the follower
 // knows that already.
 func noteKnown(f *discover.Follower, newest *atomic.Uint64, told uint64) bool {
--- a/member/news.go
+++ b/member/news.go
@@ -36,20 +36,28 @@
 type StoreRevisions struct {
 	Servers     uint64 // of backend servers
 	Evacuations uint64 // of evacuated availability zones
+	// ConfigVersion is the operator's version of the configuration in force, which does not
+	// go back where the store does.
+	ConfigVersion uint64
 }
 
 // newerThan reports whether any of the revisions is higher.
 func (r StoreRevisions) newerThan(other StoreRevisions) bool {
-	return r.Servers > other.Servers || r.Evacuations > other.Evacuations
+	return r.Servers > other.Servers || r.Evacuations > other.Evacuations || r.ConfigVersion > other.ConfigVersion
 }
 
 // with takes the higher of the revisions.
 func (r StoreRevisions) with(other StoreRevisions) StoreRevisions {
-	return StoreRevisions{Servers: max(r.Servers, other.Servers), Evacuations: max(r.Evacuations, other.Evacuations)}
+	return StoreRevisions{
+		Servers: max(r.Servers, other.Servers), Evacuations: max(r.Evacuations, other.Evacuations),
+		ConfigVersion: max(r.ConfigVersion, other.ConfigVersion),
+	}
 }
 
 func storeFromWire(news *memberpb.ConfigNews) StoreRevisions {
-	return StoreRevisions{Servers: news.GetServersRevision(), Evacuations: news.GetEvacuationsRevision()}
+	return StoreRevisions{
+		Servers: news.GetServersRevision(), Evacuations: news.GetEvacuationsRevision(), ConfigVersion: news.GetConfigVersion(),
+	}
 }
 
 // BackendNews says that one life of a backend server is leaving or gone.
@@ -105,6 +113,7 @@
 	m.inForce = &memberpb.ConfigNews{
 		Generation: generation, ManifestHash: manifestHash,
 		ServersRevision: store.Servers, EvacuationsRevision: store.Evacuations,
+		ConfigVersion: store.ConfigVersion,
 	}
 	m.urgentConfig = true
 	m.schedulePush(now)
