--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -175,7 +175,7 @@
 }
 
 func (a *Agent) watchSnapshots(ctx context.Context) {
-	revision := uint64(0)
+	revision := metastore.Revision(0)
 	for ctx.Err() == nil {
 		if !a.readsPlatform() {
 			revision = 0
@@ -193,7 +193,7 @@
 
 // nextSnapshots lists all snapshots after each change. The list is small: an
 // index keeps a few versions.
-func (a *Agent) nextSnapshots(ctx context.Context, after uint64) (uint64, error) {
+func (a *Agent) nextSnapshots(ctx context.Context, after metastore.Revision) (metastore.Revision, error) {
 	if after > 0 {
 		next, err := a.awaitChange(ctx, after)
 		if err != nil || next == after {
@@ -217,7 +217,7 @@
 	return max(after, 1), nil
 }
 
-func (a *Agent) awaitChange(ctx context.Context, after uint64) (uint64, error) {
+func (a *Agent) awaitChange(ctx context.Context, after metastore.Revision) (metastore.Revision, error) {
 	watch, cancel := context.WithTimeout(ctx, watchFor)
 	defer cancel()
 	_, next, err := a.config.Store.Watch(watch, SnapshotPrefix, after)
--- a/discover/follower.go
+++ b/discover/follower.go
@@ -33,7 +33,7 @@
 	Logger *zap.Logger
 	// Apply hears each change, with all objects, on the Follower's goroutine,
 	// and the store's revision at which it holds.
-	Apply func(objects []metastore.Object, revision uint64)
+	Apply func(objects []metastore.Object, revision metastore.Revision)
 	// Watches tells whether this host watches the store itself; the others
 	// follow their peers.
 	Watches func() bool
@@ -59,7 +59,7 @@
 // Hint says that peers know the changes up to a revision.
 type Hint struct {
 	Peers    []string // addresses of peers to ask, in this order
-	Revision uint64
+	Revision metastore.Revision
 	// Newer: they know newer writes than this host by what the writers say, whatever the
 	// revisions.
 	Newer bool
@@ -99,7 +99,7 @@
 }
 
 // Revision is the store's revision up to which changes are known.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+func (f *Follower) Revision() metastore.Revision { return metastore.Revision(f.revision.Load()) }
 
 // Hear hands in a peer's word. One waits at most: it comes again with each
 // message between hosts.
@@ -138,7 +138,7 @@
 }
 
 func (f *Follower) where(err error) []zap.Field {
-	return []zap.Field{zap.String("prefix", f.config.Prefix), observe.Revision("revision", f.revision.Load()), observe.Reason(err)}
+	return []zap.Field{zap.String("prefix", f.config.Prefix), observe.Revision("revision", f.Revision()), observe.Reason(err)}
 }
 
 // followOnce lists and then follows the store or the peers, until an error. It calls well
@@ -236,6 +236,9 @@
 	if err != nil {
 		return err
 	}
+	if known := f.Revision(); revision.Era() < known.Era() {
+		return errors.Wrapf(metastore.ErrUnavailable, "the list is of revision %s, a peer knows %s", revision, known)
+	}
 	regained := f.mirror.lost
 	f.config.Logger.Info("listed from the metadata store", append(f.where(nil), zap.String("reason", string(f.listReason)),
 		observe.Revision("store_revision", revision), zap.Int("objects", len(objects)))...)
@@ -255,20 +258,20 @@
 // rewind takes back a revision that the store refused and that its list does not reach in
 // the same era, and reports whether it was one. A first list that was stale may hold what
 // a restored store has lost.
-func (f *Follower) rewind(listed uint64) bool {
-	known := f.revision.Load()
-	if listed >= known || metastore.Era(listed) != metastore.Era(known) {
+func (f *Follower) rewind(listed metastore.Revision) bool {
+	known := f.Revision()
+	if listed >= known || listed.Era() != known.Era() {
 		return false
 	}
 	f.config.Logger.Warn("the metadata store is behind what is known, its list is taken", append(f.where(nil), observe.Revision("store_revision", listed))...)
-	f.revision.Store(listed)
+	f.revision.Store(uint64(listed))
 	f.mirror.Rewind(listed)
 	return true
 }
 
 type watched struct {
 	objects  []metastore.Object
-	revision uint64
+	revision metastore.Revision
 	err      error
 }
 
@@ -278,7 +281,7 @@
 	defer cancel()
 	results := make(chan watched, 1)
 	go func() {
-		objects, revision, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision.Load())
+		objects, revision, err := f.config.Store.Watch(ctx, f.config.Prefix, f.Revision())
 		results <- watched{objects, revision, err}
 	}()
 	for {
@@ -324,10 +327,10 @@
 
 // ask takes what peers know and reports whether that was something new.
 func (f *Follower) ask(ctx context.Context, hint Hint) bool {
-	own := f.revision.Load()
+	own := f.Revision()
 	found := false // the newer writes
 	for _, address := range hint.Peers {
-		after := f.revision.Load()
+		after := f.Revision()
 		if hint.Revision <= after {
 			if !hint.Newer || found {
 				break
@@ -339,13 +342,13 @@
 			f.config.Logger.Warn("a peer did not tell what has changed", append(f.where(err), observe.Revision("peers_revision", hint.Revision))...)
 			continue
 		}
-		if got.revision > f.revision.Load() {
+		if got.revision > f.Revision() {
 			f.take(got, address)
 			continue
 		}
 		found = f.takeNewer(got, address) || found
 	}
-	return f.revision.Load() > own
+	return f.Revision() > own
 }
 
 // takeNewer takes from a peer the writes that are newer than those known, and reports
@@ -425,15 +428,15 @@
 
 func (f *Follower) heard() { f.heardAt.Store(f.config.Now().UnixNano()) }
 
-func (f *Follower) advance(revision uint64) {
-	f.revision.Store(max(revision, f.revision.Load()))
+func (f *Follower) advance(revision metastore.Revision) {
+	f.revision.Store(uint64(max(revision, f.Revision())))
 }
 
 func (f *Follower) apply(changed bool) {
 	if !changed {
 		return
 	}
-	revision := f.revision.Load()
+	revision := f.Revision()
 	objects := f.mirror.Objects()
 	f.known.Store(f.mirror.known(objects, revision))
 	f.config.Apply(objects, revision)
--- a/discover/known.go
+++ b/discover/known.go
@@ -9,19 +9,19 @@
 // known is what a host believes at one revision of the store, for its peers. It
 // is immutable.
 type known struct {
-	revision uint64
+	revision metastore.Revision
 	objects  []metastore.Object
 	// removed holds the revision at which each removed object was found gone;
 	// it is complete for removals after since.
-	removed map[string]uint64
-	since   uint64
+	removed map[string]metastore.Revision
+	since   metastore.Revision
 	// doubtUntil: removals may be undone until then, see Mirror.Lost.
 	doubtUntil time.Time
 }
 
 // changes are what a host lacks.
 type changes struct {
-	revision uint64
+	revision metastore.Revision
 	whole    bool // objects are all there are
 	objects  []metastore.Object
 	removed  []string
@@ -31,7 +31,7 @@
 
 // after lists what has changed after a revision, or everything for a host that
 // is further behind than removals are remembered.
-func (k *known) after(revision uint64) changes {
+func (k *known) after(revision metastore.Revision) changes {
 	if revision < k.since || revision == 0 {
 		return changes{revision: k.revision, whole: true, objects: k.objects}
 	}
--- a/discover/metrics.go
+++ b/discover/metrics.go
@@ -58,9 +58,9 @@
 }
 
 // noteRevision notes the store's revision; m may be nil.
-func (m *Metrics) noteRevision(prefix string, revision uint64) {
+func (m *Metrics) noteRevision(prefix string, revision metastore.Revision) {
 	if m != nil {
-		m.revision.WithLabelValues(prefix).Set(float64(metastore.Counter(revision)))
-		m.era.WithLabelValues(prefix).Set(float64(metastore.Era(revision)))
+		m.revision.WithLabelValues(prefix).Set(float64(revision.Counter()))
+		m.era.WithLabelValues(prefix).Set(float64(revision.Era()))
 	}
 }
--- a/discover/mirror.go
+++ b/discover/mirror.go
@@ -27,8 +27,8 @@
 	listed   bool // a whole list was taken in
 	// gone holds at which revision of the store objects were found gone, for
 	// peers; it is complete for those after goneSince, see begin.
-	gone      map[string]uint64
-	goneSince uint64
+	gone      map[string]metastore.Revision
+	goneSince metastore.Revision
 	// doubtUntil: removals before it are held back until then.
 	doubtUntil time.Time
 	order      OrderOf
@@ -36,7 +36,7 @@
 
 // NewMirror makes an empty mirror; order may be nil.
 func NewMirror(order OrderOf) *Mirror {
-	return &Mirror{order: order, objects: make(map[string]metastore.Object), removing: make(map[string]time.Time), gone: make(map[string]uint64)}
+	return &Mirror{order: order, objects: make(map[string]metastore.Object), removing: make(map[string]time.Time), gone: make(map[string]metastore.Revision)}
 }
 
 // Lost notes that the store can't be heard.
@@ -57,7 +57,7 @@
 
 // Replace takes in a whole list, which holds at the revision, and reports
 // whether there is anything new for this host or for peers.
-func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision uint64) bool {
+func (m *Mirror) Replace(now time.Time, listed []metastore.Object, revision metastore.Revision) bool {
 	m.heard(now)
 	m.begin(now, revision)
 	changed := false
@@ -81,8 +81,8 @@
 // removed in the meantime, or what a restored store has lost, and take the revision for
 // its own. Whoever had written what the store has lost writes it again, so removals are
 // held back.
-func (m *Mirror) begin(now time.Time, revision uint64) {
-	restored := m.listed && metastore.Era(revision) != metastore.Era(m.goneSince)
+func (m *Mirror) begin(now time.Time, revision metastore.Revision) {
+	restored := m.listed && revision.Era() != m.goneSince.Era()
 	if m.listed && !restored {
 		return
 	}
@@ -108,7 +108,7 @@
 }
 
 // Rewind makes the objects from above the revision older than any that the store hands out.
-func (m *Mirror) Rewind(revision uint64) {
+func (m *Mirror) Rewind(revision metastore.Revision) {
 	for key, held := range m.objects {
 		if held.Revision > revision {
 			held.Revision = 0
@@ -121,7 +121,7 @@
 
 // Change takes in changed objects up to the revision and reports whether there
 // is anything new for this host or for peers.
-func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision uint64) bool {
+func (m *Mirror) Change(now time.Time, objects []metastore.Object, revision metastore.Revision) bool {
 	m.heard(now)
 	changed := false
 	for _, object := range objects {
@@ -148,7 +148,7 @@
 	return true
 }
 
-func (m *Mirror) remove(now time.Time, key string, revision uint64) bool {
+func (m *Mirror) remove(now time.Time, key string, revision metastore.Revision) bool {
 	if _, known := m.objects[key]; !known {
 		return false
 	}
@@ -172,7 +172,7 @@
 // remember notes for peers at which revision an object was found gone. It is
 // noted when it is heard, not when a removal that is held back takes effect:
 // peers that know that revision by then would never ask for it again.
-func (m *Mirror) remember(key string, revision uint64) {
+func (m *Mirror) remember(key string, revision metastore.Revision) {
 	if len(m.gone) >= mostGone {
 		clear(m.gone)
 		m.goneSince = revision
@@ -228,7 +228,7 @@
 
 // known is a copy of what is believed for peers, without what is about to be
 // removed.
-func (m *Mirror) known(believed []metastore.Object, revision uint64) *known {
+func (m *Mirror) known(believed []metastore.Object, revision metastore.Revision) *known {
 	k := &known{revision: revision, removed: maps.Clone(m.gone), since: m.goneSince, doubtUntil: m.doubtUntil}
 	for _, object := range believed {
 		if _, leaves := m.removing[object.Key]; !leaves {
--- a/discover/order.go
+++ b/discover/order.go
@@ -25,7 +25,7 @@
 // outdated reports whether a restored store has brought the object back from before the
 // one that is held. Within an era of the store its revisions order the writes.
 func (order OrderOf) outdated(object, held metastore.Object) bool {
-	if order == nil || metastore.Era(object.Revision) == metastore.Era(held.Revision) {
+	if order == nil || object.Revision.Era() == held.Revision.Era() {
 		return false
 	}
 	written, said := order(object)
--- a/discover/pack.go
+++ b/discover/pack.go
@@ -18,7 +18,7 @@
 type packer struct {
 	mu       sync.Mutex
 	key      string
-	revision uint64
+	revision metastore.Revision
 	packed   []byte
 }
 
--- a/discover/relay.go
+++ b/discover/relay.go
@@ -43,18 +43,18 @@
 	if f == nil {
 		return nil, errors.Errorf("discover: nothing is followed below %q", request.GetPrefix())
 	}
-	known := f.known.Load()
-	if known == nil || known.revision <= request.GetAfter() {
+	known, after := f.known.Load(), metastore.Revision(request.GetAfter())
+	if known == nil || known.revision <= after {
 		return &discoverpb.ChangesReply{}, nil
 	}
-	changes := known.after(request.GetAfter())
-	reply := &discoverpb.ChangesReply{Revision: changes.revision, Whole: changes.whole, Removed: changes.removed}
+	changes := known.after(after)
+	reply := &discoverpb.ChangesReply{Revision: uint64(changes.revision), Whole: changes.whole, Removed: changes.removed}
 	if doubt := known.doubtUntil.Sub(f.config.Now()); doubt > 0 {
 		reply.DoubtMs = uint32(doubt.Milliseconds())
 	}
 	for _, object := range changes.objects {
 		sent := &discoverpb.Object{
-			Key: object.Key, Value: object.Value, Version: object.Version, Revision: object.Revision,
+			Key: object.Key, Value: object.Value, Version: object.Version, Revision: uint64(object.Revision),
 		}
 		if len(object.Value) >= packFrom {
 			packed, err := r.packer.pack(object)
@@ -69,16 +69,16 @@
 }
 
 // ask asks a peer for what has changed; revision 0: the peer knows nothing newer.
-func (r *Relay) ask(ctx context.Context, address, prefix string, after uint64) (changes, error) {
+func (r *Relay) ask(ctx context.Context, address, prefix string, after metastore.Revision) (changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	client := discoverpb.NewDRPCRelayClient(r.pool.Conn(ctx, address))
-	reply, err := client.Changes(ctx, &discoverpb.ChangesRequest{Prefix: prefix, After: after})
+	reply, err := client.Changes(ctx, &discoverpb.ChangesRequest{Prefix: prefix, After: uint64(after)})
 	if err != nil {
 		return changes{}, errors.Wrapf(err, "ask %s", address)
 	}
 	got := changes{
-		revision: reply.GetRevision(), whole: reply.GetWhole(), removed: reply.GetRemoved(),
+		revision: metastore.Revision(reply.GetRevision()), whole: reply.GetWhole(), removed: reply.GetRemoved(),
 		doubt: time.Duration(reply.GetDoubtMs()) * time.Millisecond,
 	}
 	for _, object := range reply.GetObjects() {
@@ -89,7 +89,7 @@
 			}
 		}
 		got.objects = append(got.objects, metastore.Object{
-			Key: object.GetKey(), Value: value, Version: object.GetVersion(), Revision: object.GetRevision(),
+			Key: object.GetKey(), Value: value, Version: object.GetVersion(), Revision: metastore.Revision(object.GetRevision()),
 		})
 	}
 	return got, nil
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -7,6 +7,7 @@
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/home"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
@@ -59,7 +60,7 @@
 // configuration is one version in the form that requests are served from. It
 // is immutable.
 type configuration struct {
-	revision uint64 // of the store
+	revision metastore.Revision // of the store
 	table    *route.Table
 	homes    *bundle.Config
 	shards   map[*route.Route]*snapshot.Snapshot
@@ -71,7 +72,7 @@
 	warmups map[string]eligible.Warmup
 }
 
-func newConfiguration(revision uint64, config *route.Config) (*configuration, error) {
+func newConfiguration(revision metastore.Revision, config *route.Config) (*configuration, error) {
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -32,17 +32,17 @@
 // Load: an operator empties a zone before it loses power or is rebuilt. Harm prevented:
 // requests that reach it after seconds are lost with it. Each entry below the prefix
 // names a zone; what it holds does not count.
-func (g *Gateway) applyEvacuations(objects []metastore.Object, revision uint64) {
+func (g *Gateway) applyEvacuations(objects []metastore.Object, revision metastore.Revision) {
 	var zones []string
 	for _, object := range objects {
 		zones = append(zones, strings.TrimPrefix(object.Key, g.options.EvacuationsPrefix))
 	}
 	g.setEvacuations(zones, revision)
-	g.evacuationsAt.Store(revision)
+	g.evacuationsAt.Store(uint64(revision))
 	g.announce()
 }
 
-func (g *Gateway) setEvacuations(zones []string, revision uint64) {
+func (g *Gateway) setEvacuations(zones []string, revision metastore.Revision) {
 	g.serversMu.Lock()
 	defer g.serversMu.Unlock()
 	next, changes := g.evacuations.known.With(g.options.Now(), zones)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -8,6 +8,7 @@
 	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -76,9 +77,12 @@
 // guard holds because every message between hosts carries these revisions, so
 // one host that hears the store makes all others ask.
 func (g *Gateway) announce() {
-	known := member.StoreRevisions{Servers: g.serversAt.Load(), Evacuations: g.evacuationsAt.Load()}
+	known := member.StoreRevisions{
+		Servers:     metastore.Revision(g.serversAt.Load()),
+		Evacuations: metastore.Revision(g.evacuationsAt.Load()),
+	}
 	if c := g.inForce.Load(); c != nil {
-		g.members.AnnounceConfig(c.revision, nil)
+		g.members.AnnounceConfig(uint64(c.revision), nil)
 		known.ConfigVersion = c.version()
 	}
 	g.members.AnnounceStore(known)
@@ -91,7 +95,7 @@
 	if g.evacuationList != nil {
 		g.evacuationList.Hear(discover.Hint{Peers: peers, Revision: news.Store.Evacuations})
 	}
-	g.configs.Hear(discover.Hint{Peers: peers, Revision: news.Generation, Newer: g.isBehind(news.Store.ConfigVersion)})
+	g.configs.Hear(discover.Hint{Peers: peers, Revision: metastore.Revision(news.Generation), Newer: g.isBehind(news.Store.ConfigVersion)})
 	// What is known already, without a change, is told on.
 	known := noteKnown(g.servers, &g.serversAt, news.Store.Servers)
 	known = noteKnown(g.evacuationList, &g.evacuationsAt, news.Store.Evacuations) || known
@@ -109,11 +113,11 @@
 
 // noteKnown raises the revision of the newest change to the one told if the follower
 // knows that already.
-func noteKnown(f *discover.Follower, newest *atomic.Uint64, told uint64) bool {
+func noteKnown(f *discover.Follower, newest *atomic.Uint64, told metastore.Revision) bool {
 	if f == nil || f.Revision() < told {
 		return false
 	}
-	newest.Store(max(newest.Load(), told))
+	newest.Store(max(newest.Load(), uint64(told)))
 	return true
 }
 
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -204,7 +204,7 @@
 	return serversSettle
 }
 
-func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, settle func() time.Duration, apply func([]metastore.Object, uint64)) *discover.Follower {
+func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, settle func() time.Duration, apply func([]metastore.Object, metastore.Revision)) *discover.Follower {
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, Apply: apply,
 		Relay: g.relay, Watches: g.watches, Watchers: g.watchers, Joined: g.members.Joined, Settle: settle, StaleStart: prefix != g.options.ConfigKey,
@@ -212,7 +212,7 @@
 	})
 }
 
-func (g *Gateway) applyConfigs(objects []metastore.Object, _ uint64) {
+func (g *Gateway) applyConfigs(objects []metastore.Object, _ metastore.Revision) {
 	for _, object := range objects {
 		if object.Key == g.options.ConfigKey {
 			g.post(func() { g.applyConfig(object, "store") })
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -45,7 +45,7 @@
 	registered, era := false, uint64(0)
 	for pause := time.Duration(0); wait.For(ctx, pause); {
 		pause = watcherCheck
-		if registered && metastore.Era(g.configs.Revision()) <= era || !g.watches() {
+		if registered && g.configs.Revision().Era() <= era || !g.watches() {
 			continue
 		}
 		written, err := g.registerOnce(ctx)
@@ -54,13 +54,13 @@
 			pause = registerRetry
 			continue
 		}
-		registered, era = true, metastore.Era(written)
+		registered, era = true, written.Era()
 	}
 	return nil
 }
 
 // registerOnce returns the revision of this host's entry.
-func (g *Gateway) registerOnce(ctx context.Context) (uint64, error) {
+func (g *Gateway) registerOnce(ctx context.Context) (metastore.Revision, error) {
 	entries, _, err := g.options.Store.List(ctx, g.options.HostsPrefix)
 	if err != nil {
 		return 0, errors.Wrap(err, "list hosts")
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -38,7 +38,7 @@
 
 // serverState is an entry as it was decoded last.
 type serverState struct {
-	revision uint64 // of the object
+	revision metastore.Revision // of the object
 	entry    ServerEntry
 	valid    bool
 	// coldUntil is when the server is warm, by its last word.
@@ -48,7 +48,7 @@
 // applyServers takes the entries of all backend servers in. Only those that
 // have changed are decoded: hundreds of servers change one by one, on hosts
 // with a fifth of a core.
-func (g *Gateway) applyServers(objects []metastore.Object, revision uint64) {
+func (g *Gateway) applyServers(objects []metastore.Object, revision metastore.Revision) {
 	g.serversMu.Lock()
 	defer g.serversMu.Unlock()
 	g.serverKeys = g.serverKeys[:0]
@@ -58,7 +58,7 @@
 	}
 	g.dropServers(objects)
 	g.publishServers()
-	g.serversAt.Store(revision)
+	g.serversAt.Store(uint64(revision))
 	g.announce()
 }
 
--- a/member/news.go
+++ b/member/news.go
@@ -6,6 +6,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
 )
 
 const (
@@ -34,8 +35,8 @@
 // StoreRevisions are the store's revisions up to which a host knows its changes; 0: it
 // does not follow them.
 type StoreRevisions struct {
-	Servers     uint64 // of backend servers
-	Evacuations uint64 // of evacuated availability zones
+	Servers     metastore.Revision // of backend servers
+	Evacuations metastore.Revision // of evacuated availability zones
 	// ConfigVersion is the operator's version of the configuration in force, which does not
 	// go back where the store does.
 	ConfigVersion uint64
@@ -56,7 +57,9 @@
 
 func storeFromWire(news *memberpb.ConfigNews) StoreRevisions {
 	return StoreRevisions{
-		Servers: news.GetServersRevision(), Evacuations: news.GetEvacuationsRevision(), ConfigVersion: news.GetConfigVersion(),
+		Servers:       metastore.Revision(news.GetServersRevision()),
+		Evacuations:   metastore.Revision(news.GetEvacuationsRevision()),
+		ConfigVersion: news.GetConfigVersion(),
 	}
 }
 
@@ -112,7 +115,7 @@
 func (m *Membership) announceNews(now time.Time, generation uint64, manifestHash []byte, store StoreRevisions) {
 	m.inForce = &memberpb.ConfigNews{
 		Generation: generation, ManifestHash: manifestHash,
-		ServersRevision: store.Servers, EvacuationsRevision: store.Evacuations,
+		ServersRevision: uint64(store.Servers), EvacuationsRevision: uint64(store.Evacuations),
 		ConfigVersion: store.ConfigVersion,
 	}
 	m.urgentConfig = true
--- a/metastore/client.go
+++ b/metastore/client.go
@@ -130,12 +130,12 @@
 }
 
 // ListStale implements Store; this object API knows one kind of list.
-func (c *Client) ListStale(ctx context.Context, prefix string) ([]Object, uint64, error) {
+func (c *Client) ListStale(ctx context.Context, prefix string) ([]Object, Revision, error) {
 	return c.List(ctx, prefix)
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, Revision, error) {
 	var reply WatchReply
 	err := c.read(ctx, PathList, url.Values{ParamPrefix: {prefix}}, &reply)
 	return reply.Objects, reply.Revision, errors.Wrapf(err, "list %s", prefix)
@@ -155,7 +155,7 @@
 // old configuration for as long as it believes that nothing changes. The guard
 // holds because each wait is short and its end without a reply is an error,
 // which drops the idle connections and asks again on a new one.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after Revision) ([]Object, Revision, error) {
 	for {
 		reply, err := c.watchOnce(ctx, prefix, after)
 		if err != nil {
@@ -171,14 +171,14 @@
 	}
 }
 
-func (c *Client) watchOnce(ctx context.Context, prefix string, after uint64) (WatchReply, error) {
+func (c *Client) watchOnce(ctx context.Context, prefix string, after Revision) (WatchReply, error) {
 	wait := c.options.WatchWait
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(deadline))
 	}
 	query := url.Values{
 		ParamPrefix: {prefix},
-		ParamAfter:  {strconv.FormatUint(after, 10)},
+		ParamAfter:  {strconv.FormatUint(uint64(after), 10)},
 		ParamWait:   {wait.String()},
 	}
 	var reply WatchReply
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -38,7 +38,7 @@
 	Version uint64 `json:"version"`
 	// Revision orders the writes of the whole store, see NewRevision; Watch continues
 	// from it.
-	Revision uint64 `json:"revision"`
+	Revision Revision `json:"revision"`
 }
 
 // Store is the platform's object API.
@@ -52,16 +52,16 @@
 	Delete(ctx context.Context, key string, expect uint64) error
 	// List reads all objects below a prefix, in key order, and returns the
 	// store's revision at that moment, from which a Watch continues.
-	List(ctx context.Context, prefix string) ([]Object, uint64, error)
+	List(ctx context.Context, prefix string) ([]Object, Revision, error)
 	// ListStale is List for a reader that can do with what was true seconds ago, and
 	// costs the platform less. A Watch continues from the revision that it returns.
-	ListStale(ctx context.Context, prefix string) ([]Object, uint64, error)
+	ListStale(ctx context.Context, prefix string) ([]Object, Revision, error)
 	// Watch waits until an object below the prefix has a revision above after,
 	// or ctx ends, and returns the changed objects and the revision to continue
 	// from; it may return none shortly before ctx ends. A deleted object has
 	// Version 0. ErrHistoryGone says that the store has forgotten what came
 	// after: List again. A waiting watch counts as one call to the platform.
-	Watch(ctx context.Context, prefix string, after uint64) ([]Object, uint64, error)
+	Watch(ctx context.Context, prefix string, after Revision) ([]Object, Revision, error)
 }
 
 // HostKind tells what runs on a listed host.
--- a/metastore/revision.go
+++ b/metastore/revision.go
@@ -6,9 +6,12 @@
 	"github.com/pkg/errors"
 )
 
-// A revision holds the store's era in its upper bits and the store's own counter in the
-// others. A store that is restored from a backup sets its counter back and raises its
-// era, so that revisions order its changes across restores. A store without eras has era 0.
+// Revision orders the changes of a store, also across restores of the store from a backup.
+// Its upper bits hold the store's era, the lower ones the store's own counter: a restore
+// sets the counter back and raises the era. A store without eras has era 0. The zero
+// Revision is before any change.
+type Revision uint64
+
 const (
 	counterBits = 40
 	maxCounter  = 1<<counterBits - 1
@@ -16,20 +19,20 @@
 )
 
 // NewRevision makes the revision of an era and the store's counter.
-func NewRevision(era, counter uint64) (uint64, error) {
+func NewRevision(era, counter uint64) (Revision, error) {
 	if era > maxEra || counter > maxCounter {
 		return 0, errors.Errorf("revision %d of era %d is out of range", counter, era)
 	}
-	return era<<counterBits | counter, nil
+	return Revision(era<<counterBits | counter), nil
 }
 
-// Era is the store's era at the revision.
-func Era(revision uint64) uint64 { return revision >> counterBits }
+// Era rises with each restore of the store.
+func (r Revision) Era() uint64 { return uint64(r) >> counterBits }
 
-// Counter is the store's own counter at the revision.
-func Counter(revision uint64) uint64 { return revision & maxCounter }
+// Counter is the store's own counter.
+func (r Revision) Counter() uint64 { return uint64(r) & maxCounter }
 
-// FormatRevision is the revision for people: its era, a slash and the store's counter.
-func FormatRevision(revision uint64) string {
-	return strconv.FormatUint(Era(revision), 10) + "/" + strconv.FormatUint(Counter(revision), 10)
+// String is the era, a slash and the counter.
+func (r Revision) String() string {
+	return strconv.FormatUint(r.Era(), 10) + "/" + strconv.FormatUint(r.Counter(), 10)
 }
--- a/metastore/wire.go
+++ b/metastore/wire.go
@@ -25,7 +25,7 @@
 // say that the wait is over.
 type WatchReply struct {
 	Objects  []Object `json:"objects"`
-	Revision uint64   `json:"revision"`
+	Revision Revision `json:"revision"`
 }
 
 // statusErrors maps the API's statuses to errors. A status that is not listed
--- a/observe/log.go
+++ b/observe/log.go
@@ -35,6 +35,6 @@
 }
 
 // Revision is a revision of the metadata store as a field: its era, a slash and its counter.
-func Revision(key string, revision uint64) zap.Field {
-	return zap.String(key, metastore.FormatRevision(revision))
+func Revision(key string, revision metastore.Revision) zap.Field {
+	return zap.Stringer(key, revision)
 }
--- a/rollout/follow.go
+++ b/rollout/follow.go
@@ -29,7 +29,7 @@
 }
 
 // readStoreHead reads the head and the revision to watch from.
-func (a *Agent) readStoreHead(ctx context.Context) (head, uint64, error) {
+func (a *Agent) readStoreHead(ctx context.Context) (head, metastore.Revision, error) {
 	var object metastore.Object
 	err := a.callStore(ctx, a.storeLimit, "get_head", storeTimeout, func(ctx context.Context) (err error) {
 		object, err = a.config.Store.Get(ctx, HeadKey)
@@ -152,7 +152,7 @@
 // watch waits for changes of the head, which arrive whole in its replies.
 func (a *Agent) watch(ctx context.Context) {
 	wait := newBackoff(storeFirstBackoff, storeLastBackoff)
-	after := uint64(0)
+	after := metastore.Revision(0)
 	for {
 		changed, next, err := a.watchOnce(ctx, after)
 		switch {
@@ -172,7 +172,7 @@
 	}
 }
 
-func (a *Agent) watchOnce(ctx context.Context, after uint64) (changed []metastore.Object, next uint64, err error) {
+func (a *Agent) watchOnce(ctx context.Context, after metastore.Revision) (changed []metastore.Object, next metastore.Revision, err error) {
 	err = a.callStore(ctx, a.storeLimit, "watch", watchWait, func(ctx context.Context) (err error) {
 		changed, next, err = a.config.Store.Watch(ctx, HeadKey, after)
 		return err
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -137,7 +137,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(wait, maxWatchWait))
 	defer cancel()
-	objects, revision, err := p.Watch(ctx, query.Get(metastore.ParamPrefix), after)
+	objects, revision, err := p.Watch(ctx, query.Get(metastore.ParamPrefix), metastore.Revision(after))
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = nil // the wait is over and nothing changed
 	}
