--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -125,6 +125,43 @@
 	is.True(!b.Suspected(start, 7, simService))
 }
 
+// Guards against an answer that was sent before the crash and is read after it: it says
+// nothing of the server's life.
+func TestAnswerFromBeforeTheCrashTakesNoBlameBack(t *testing.T) {
+	is := is.New(t)
+	b, track := NewBook(testBundle()), NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	track.Start(start, 1, server, 7)
+	track.Start(start, 2, server, poison)
+	track.Start(start, 3, server, 8)
+	now := start.Add(10 * time.Millisecond)
+	is.Equal(track.End(now, 1, result.OutcomeUnknown, backend.FaultBroken, 0).Died, nil)
+	event := track.End(now, 2, result.OutcomeUnknown, backend.FaultBroken, 0)
+	is.True(event.Died != nil)
+	b.Died(now, *event.Died)
+	is.Equal(track.End(now, 3, result.OutcomeRan, backend.FaultNone, 1), Event{})
+	is.True(b.Suspected(now, poison, simService))
+	track.Start(now, 4, server, 9) // the server lives after all
+	event = track.End(now, 4, result.OutcomeRan, backend.FaultNone, 1)
+	is.Equal(event.Lives, &server)
+}
+
+// Guards against a break that is forgotten for an answer from before it, so that the server's
+// restart finds nobody to blame.
+func TestAnswerFromBeforeTheBreakDoesNotHideIt(t *testing.T) {
+	is := is.New(t)
+	track := NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	track.Start(start, 1, server, poison)
+	track.Start(start, 2, server, 8)
+	now := start.Add(10 * time.Millisecond)
+	track.End(now, 1, result.OutcomeUnknown, backend.FaultBroken, 0)
+	track.End(now, 2, result.OutcomeRan, backend.FaultNone, 1)
+	event := track.Unreachable(now, "a")
+	is.True(event.Died != nil)
+	is.Equal(event.Died.Blamed[0].Fingerprint, poison)
+}
+
 // The request was cancelled a moment before the server died: the server had
 // not heard of it yet and crashed on it all the same.
 func TestCancelledRequestIsStillBlamed(t *testing.T) {
--- a/quarantine/track.go
+++ b/quarantine/track.go
@@ -69,6 +69,7 @@
 	past    []*run // ended with an unknown outcome, may still run
 	broken  []*run // their connection broke; the server's fate is open
 	dead    bool
+	diedAt  time.Time // of the last death
 }
 
 type run struct {
@@ -105,8 +106,9 @@
 // for deaths that did not happen; or a crash is recognised only after the
 // restart, and the request meanwhile takes the next server. A new incarnation
 // is proof. Two connections broken within 50 ms, or a broken one and then no
-// new one, is taken for a death at once, and taken back by the next answer of
-// the same incarnation. One break alone counts for nothing.
+// new one, is taken for a death at once, and taken back by the answer of the same
+// incarnation to an attempt that was sent after it: the answers to earlier ones may
+// have been sent before the crash. One break alone counts for nothing.
 func (t *Tracker) End(now time.Time, attempt ident.AttemptID, outcome result.Outcome, fault backend.Fault, incarnation uint64) Event {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -120,7 +122,7 @@
 	on := r.on
 	switch {
 	case outcome == result.OutcomeRan || outcome == result.OutcomeRefused:
-		return on.answered(now, incarnation)
+		return on.answered(now, r, incarnation)
 	case fault == backend.FaultBroken:
 		return on.broke(now, r)
 	case fault == backend.FaultUnreachable:
@@ -169,13 +171,13 @@
 	return false
 }
 
-func (s *tracked) answered(now time.Time, incarnation uint64) Event {
+func (s *tracked) answered(now time.Time, r *run, incarnation uint64) Event {
 	if incarnation != 0 && incarnation != s.server.Incarnation {
 		return s.renewed(now, incarnation)
 	}
-	// The same life answers, so the breaks before were of connections only.
-	s.broken = nil
-	if !s.dead {
+	// The same life answers, so the breaks before the attempt were of connections only.
+	s.broken = slices.DeleteFunc(s.broken, func(b *run) bool { return !b.ended.After(r.started) })
+	if !s.dead || s.diedAt.After(r.started) {
 		return Event{}
 	}
 	s.dead = false
@@ -224,7 +226,7 @@
 	if s.dead {
 		return Event{}
 	}
-	s.dead = true
+	s.dead, s.diedAt = true, now
 	death := &Death{Server: s.server}
 	for _, r := range s.running {
 		death.blame(r)
