--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -221,6 +221,22 @@
 	is.Equal(b.Judge(now, poison).Code, result.Quarantined)
 }
 
+// Guards against a query that is sent again since its root saw the loss of its legs before
+// it saw a server's death.
+func TestQueryThatIsLostBeforeADeathIsSeenIsCondemned(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(testBundle())
+	b.LostQuery(start, poison, []string{"a", "b", "c", "d"})
+	now := start.Add(time.Millisecond)
+	b.LegAnswered(now, now, 1, "a")
+	_, condemned := b.LegAnswered(now, now, 1, "b")
+	is.True(!condemned) // no death was seen
+	b.Died(now, died("a", 1, now, poison))
+	f, condemned := b.LegAnswered(now, now, 1, "b")
+	is.True(condemned)
+	is.Equal(f, poison)
+}
+
 // All servers lose their power while a query has just started, so all its
 // legs are lost. Another query, half answered before, ends a moment later; and
 // everything is back after three seconds. Neither confirms anything.
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -39,7 +39,7 @@
 func (b *Book) LostQuery(now time.Time, f Fingerprint, services []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(services) < leastLost || b.suspects[f] == 0 || b.verdicts.Contains(f) {
+	if len(services) < leastLost || b.verdicts.Contains(f) {
 		return
 	}
 	b.lost = slices.DeleteFunc(b.lost, func(q *lostQuery) bool { return now.Sub(q.at) > confirmFor })
@@ -60,7 +60,7 @@
 			continue
 		}
 		q.services = slices.DeleteFunc(q.services, func(s string) bool { return s == service })
-		if 2*len(q.services) > q.lost {
+		if 2*len(q.services) > q.lost || b.suspects[q.fingerprint] == 0 {
 			continue
 		}
 		b.lost = slices.Delete(b.lost, i, i+1)
