--- a/gateway/news.go
+++ b/gateway/news.go
@@ -95,7 +95,7 @@
 	if g.evacuationList != nil {
 		g.evacuationList.Hear(discover.Hint{Peers: peers, Revision: news.Store.Evacuations})
 	}
-	g.configs.Hear(discover.Hint{Peers: peers, Revision: metastore.Revision(news.Generation), Newer: g.isBehind(news.Store.ConfigVersion)})
+	g.configs.Hear(discover.Hint{Peers: peers, Revision: metastore.Revision(news.Generation), Newer: g.inForce.Load().hasLost(news)})
 	// What is known already, without a change, is told on.
 	known := noteKnown(g.servers, &g.serversAt, news.Store.Servers)
 	known = noteKnown(g.evacuationList, &g.evacuationsAt, news.Store.Evacuations) || known
@@ -104,11 +104,11 @@
 	}
 }
 
-// isBehind reports whether an older version than the peer's is in force here: the store
-// that this host has listed was restored, and the peer knows what it has lost.
-func (g *Gateway) isBehind(peersVersion uint64) bool {
-	c := g.inForce.Load()
-	return c != nil && c.version() < peersVersion
+// hasLost reports whether the store that this host has listed has lost the peer's
+// configuration: its version is the higher one, and its revision is not. A newer
+// configuration that is on its way has a higher revision.
+func (c *configuration) hasLost(news member.ConfigNews) bool {
+	return c != nil && c.version() < news.Store.ConfigVersion && metastore.Revision(news.Generation) <= c.revision
 }
 
 // noteKnown raises the revision of the newest change to the one told if the follower
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/route"
 )
 
 // The users pay for each call to the store, and a waiting watch is one: the
@@ -31,3 +33,28 @@
 		is.Equal(watchers, c.wanted)
 	}
 }
+
+// Guards against hosts that fetch the whole configuration from each other while a newer one
+// is on its way, and against one that keeps to a backup.
+func TestOnlyAConfigurationThatTheStoreHasLostIsFetchedWhole(t *testing.T) {
+	is := is.New(t)
+	revision := func(era, counter uint64) metastore.Revision {
+		r, err := metastore.NewRevision(era, counter)
+		is.NoErr(err)
+		return r
+	}
+	inForce := func(r metastore.Revision, version uint64) *configuration {
+		c, err := newConfiguration(r, &route.Config{Version: version})
+		is.NoErr(err)
+		return c
+	}
+	news := func(r metastore.Revision, version uint64) member.ConfigNews {
+		return member.ConfigNews{Generation: uint64(r), Store: member.StoreRevisions{ConfigVersion: version}}
+	}
+	is.True(inForce(revision(2, 3), 3).hasLost(news(revision(1, 63), 21)))
+	is.True(inForce(revision(2, 3), 3).hasLost(news(revision(2, 3), 21))) // a peer that has fetched it
+	is.True(!inForce(revision(2, 3), 21).hasLost(news(revision(1, 63), 21)))
+	is.True(!inForce(revision(1, 63), 21).hasLost(news(revision(1, 70), 25))) // on its way
+	is.True(!inForce(revision(1, 63), 21).hasLost(news(revision(1, 60), 17)))
+	is.True(!(*configuration)(nil).hasLost(news(revision(1, 63), 21)))
+}
