--- a/entry/homes.go
+++ b/entry/homes.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	byZone := largeByZone(view, serversIn)
-	if own := byZone[zone]; len(own) > 1 && timeOf(own, services) <= zoneTime {
+	if own := byZone[zone]; sharesAlone(own, services) {
 		return own
 	}
 	wanted := (services + legsPerHome - 1) / legsPerHome
@@ -61,6 +61,30 @@
 	return chosen
 }
 
+// HomesPerService is how many hosts are the home of the same service at once: one for the
+// roots of each availability zone that shares searches among its own hosts, and one for
+// all others. Only zones that hold servers count: callers are advised hosts there.
+func HomesPerService(view *member.View, serversIn map[string]int, services int) int {
+	if !Splits(services) {
+		return 0
+	}
+	byZone := largeByZone(view, serversIn)
+	count, others := 0, 0
+	for _, hosts := range byZone {
+		if sharesAlone(hosts, services) {
+			count++
+		} else {
+			others = 1
+		}
+	}
+	return count + others
+}
+
+// sharesAlone reports whether the hosts of one zone share a search without help.
+func sharesAlone(hosts []member.Host, services int) bool {
+	return len(hosts) > 1 && timeOf(hosts, services) <= zoneTime
+}
+
 // largeByZone lists the large hosts of the zones that hold many backend servers.
 func largeByZone(view *member.View, serversIn map[string]int) map[string][]member.Host {
 	serving := servingByZone(view)
--- a/entry/homes_test.go
+++ b/entry/homes_test.go
@@ -80,3 +80,17 @@
 	}
 	is.Equal(names(Homes(view, serversIn, 180, "a")), []string{"a02", "c00", "c01", "c02"})
 }
+
+// Guards against a budget that is divided by fewer hosts than spend it: each zone that
+// shares searches among its own hosts has a home of its own for each service.
+func TestEachZoneThatSharesAloneHasItsOwnHomes(t *testing.T) {
+	is := is.New(t)
+	view, serversIn := largeFleet()
+	is.Equal(HomesPerService(view, serversIn, 180), 3)
+	is.Equal(HomesPerService(view, serversIn, 450), 1)
+	for zone := range serversIn {
+		serversIn[zone] = 187
+	}
+	is.Equal(HomesPerService(view, serversIn, 180), 7)
+	is.Equal(HomesPerService(view, serversIn, splitFrom-1), 0)
+}
--- a/gateway/config_test.go
+++ b/gateway/config_test.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// Guards against the homes of five zones or more, which together spend more than the
+// operator allows.
+func TestBudgetsOfTheHomesOfAllZonesStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	budget := Budget{Ratio: 0.2, Slack: 214, Window: 10 * time.Second}
+	for zones := 1; zones <= 8; zones++ {
+		var config home.Config
+		budget.tune(int(shareHomes(zones)))(&config)
+		each := config.HedgeBurst + config.RetryBurst + (config.HedgeRate+config.RetryRate)*budget.Window.Seconds()
+		is.True(float64(zones)*each <= budget.Slack)
+	}
+}
+
 // All hosts are killed and start again within one window. What the lives before have
 // spent counts with what the new ones spend: together they stay within the bound.
 func TestBudgetsOfTwoLivesStayWithinTheBound(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,18 +117,20 @@
 	live context.Context
 	end  context.CancelFunc
 
-	tuning   atomic.Pointer[Tuning]
-	sharing  atomic.Int64 // hosts that the slack of the budget is divided by
-	inForce  atomic.Pointer[configuration]
-	zones    atomic.Pointer[map[string]int] // backend servers by zone
-	zonesMu  sync.Mutex                     // held while zones and split are worked out
-	split    atomic.Pointer[splitServices]
-	stop     atomic.Pointer[drain.Stop]
-	inFlight atomic.Int64
-	bodies   atomic.Int64 // bytes of the bodies in flight
-	attempts atomic.Int64 // at backend servers, since the start
-	callers  callerTimes
-	told     atomic.Uint32 // this host's load as the others hear it, in thousandths
+	tuning  atomic.Pointer[Tuning]
+	sharing atomic.Int64 // hosts that the slack of the budget is divided by
+	// homeSharing is the same for the services of large searches.
+	homeSharing atomic.Int64
+	inForce     atomic.Pointer[configuration]
+	zones       atomic.Pointer[map[string]int] // backend servers by zone
+	zonesMu     sync.Mutex                     // held while zones and split are worked out
+	split       atomic.Pointer[splitServices]
+	stop        atomic.Pointer[drain.Stop]
+	inFlight    atomic.Int64
+	bodies      atomic.Int64 // bytes of the bodies in flight
+	attempts    atomic.Int64 // at backend servers, since the start
+	callers     callerTimes
+	told        atomic.Uint32 // this host's load as the others hear it, in thousandths
 	// serversAt is the store's revision of the newest change of the servers.
 	serversAt atomic.Uint64
 	events    chan func()   // for the control loop
@@ -172,6 +174,7 @@
 	g.newestStarts = newest
 	g.tuning.Store(&options.Tuning)
 	g.sharing.Store(leastSharing)
+	g.homeSharing.Store(leastSharing)
 	g.live, g.end = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.end()
--- a/gateway/tuning.go
+++ b/gateway/tuning.go
@@ -43,22 +43,33 @@
 func (g *Gateway) tuneHome(config *home.Config) {
 	hosts := int(g.sharing.Load())
 	if c := g.inForce.Load(); c != nil && c.split[config.Service] {
-		hosts = leastSharing // its home, those before it, and roots that have lost it
+		hosts = int(g.homeSharing.Load())
 	}
 	g.tuning.Load().Budget.tune(hosts)(config)
 	g.setHedgeAges(config.Classes)
 }
 
-// shareBudget divides the budget's slack by the hosts that are advised now.
+// shareHomes is by how many hosts the slack of a service of large searches is divided. Roots
+// that have lost a home spend from what hedges and retries leave.
+func shareHomes(homesPerService int) int64 {
+	return int64(max(leastSharing, homesPerService))
+}
+
+// shareBudget divides the budget's slack by the hosts that are advised now, and that of
+// services of large searches by their homes.
 //
 // Load: a service fails for seconds, and every host that carries traffic spends
 // all it may. Harm prevented: in a deployment of five zones or more the parts add
 // up to more than the operator allows. Limit: never fewer than leastSharing.
 func (g *Gateway) shareBudget() {
-	hosts := int64(max(leastSharing, len(entry.Carriers(g.members.View(), g.serversByZone()))))
-	if g.sharing.Swap(hosts) == hosts {
+	view, zones := g.members.View(), g.serversByZone()
+	_, largest := g.sharedServices()
+	hosts := int64(max(leastSharing, len(entry.Carriers(view, zones))))
+	homes := shareHomes(entry.HomesPerService(view, zones, largest))
+	before, homesBefore := g.sharing.Swap(hosts), g.homeSharing.Swap(homes)
+	if before == hosts && homesBefore == homes {
 		return
 	}
 	g.homes.Retune()
-	g.log.Info("budget of extra arrivals shared", zap.Int64("hosts", hosts))
+	g.log.Info("budget of extra arrivals shared", zap.Int64("hosts", hosts), zap.Int64("homes", homes))
 }
