--- /dev/null
+++ b/internal/logbuffer/logbuffer.go
@@ -0,0 +1,30 @@
+// Package logbuffer keeps in memory what several goroutines log, for tests.
+package logbuffer
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Buffer is safe for concurrent use; its zero value is empty.
+type Buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *Buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (*Buffer) Sync() error { return nil }
+
+// String is all that was written.
+func (b *Buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
