--- a/discover/metrics.go
+++ b/discover/metrics.go
@@ -14,9 +14,12 @@
 	listAtStart        listReason = "start"
 	listAfterLoss      listReason = "store_lost"
 	listWithoutHistory listReason = "history_gone"
-	metricsNamespace              = "goldcrestspan"
-	labelPrefix                   = "prefix"
-	labelReason                   = "reason"
+)
+
+const (
+	metricsNamespace = "goldcrestspan"
+	labelPrefix      = "prefix"
+	labelReason      = "reason"
 )
 
 // Metrics are the counters of a host's Followers.
