--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -28,7 +28,7 @@
 		return attempt
 	}
 	r.log.Info("attempt gave no answer",
-		zap.String("request", call.Forward.AttemptID), zap.String("service", call.Service),
+		zap.String("request", call.Forward.AttemptID), zap.Stringer("fingerprint", fingerprintOf(call.Forward, call.Body)), zap.String("service", call.Service),
 		zap.String("server", server.Name), zap.String("address", server.Address),
 		zap.Stringer("fault", attempt.Fault), zap.Bool("not_run", attempt.Outcome.NotRun()),
 		zap.Int("server_running", attempt.Reply.Load.Running), zap.Int("server_waiting", attempt.Reply.Load.Queued),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -227,7 +227,8 @@
 
 func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, a *scatter.Answer, took time.Duration) {
 	fields := []zap.Field{
-		zap.String("request", q.Forward.AttemptID), zap.String("route", r.Name), zap.Uint64("config", versionOf(c)),
+		zap.String("request", q.Forward.AttemptID), zap.Stringer("fingerprint", fingerprintOf(q.Forward, q.Body)),
+		zap.String("route", r.Name), zap.Uint64("config", versionOf(c)),
 		zap.Stringer("code", a.Code), zap.Int("parts", len(a.Parts)), zap.Int("total", a.Total),
 		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
 		zap.Duration("budget", q.Timeout), zap.Duration("took", took),
