--- a/eligible/eligible.go
+++ b/eligible/eligible.go
@@ -20,11 +20,13 @@
 	OtherRegion
 	// Cold: the server is cold, and this host is not the one that warms it.
 	Cold
+	// RequestHeldBack: servers crashed under the request.
+	RequestHeldBack
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold"}[r]
+	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold", "request_held_back"}[r]
 }
 
 // Rules are the rules for all servers at one moment. They are immutable.
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -36,6 +36,7 @@
 	Forecasts    *remoteForecasts
 	Evacuations  *evacuations
 	SharedHomes  *homes
+	Crashes      *crashDetector
 }
 
 // build constructs and connects the components; the container orders the constructors.
@@ -54,6 +55,7 @@
 		func() (*proxyServer, error) {
 			return newProxyServer(loggingRunner{g.withEligibility(g.options.Backends, g.checkForPeer), g.log, g.options.Now, &g.attempts})
 		},
+		g.newCrashDetector,
 		g.newHomes,
 		g.newSharedHomes,
 		newEvacuations,
@@ -73,6 +75,7 @@
 		g.peers, g.proxyServer = b.Peers, b.ProxyServer
 		g.homeLegRunner, g.remoteForecasts = b.HomeLegs, b.Forecasts
 		g.evacuations, g.sharedHomes = b.Evacuations, b.SharedHomes
+		g.crashDetector = b.Crashes
 	})
 	if err != nil {
 		return err
@@ -111,11 +114,12 @@
 			},
 			Seeds: g.options.Seeds,
 		},
-		Pool:           pool,
-		Now:            g.options.Now,
-		Logger:         g.log,
-		Registerer:     registry,
-		OnConfigUpdate: g.handleConfigUpdate,
+		Pool:             pool,
+		Now:              g.options.Now,
+		Logger:           g.log,
+		Registerer:       registry,
+		OnConfigUpdate:   g.handleConfigUpdate,
+		OnSuspectRequest: func(update member.SuspectRequestUpdate) { g.crashDetector.merge(update) },
 	})
 }
 
@@ -129,8 +133,8 @@
 	return &crossZoneRunner{direct: g.options.Backends, zone: g.options.Zone, view: members.View, load: g.load, links: links, log: g.log, partsByPath: partsByPath}, nil
 }
 
-func (g *Gateway) newHomes(runner *crossZoneRunner, counters *observe.Metrics) *homeserver.Server {
-	homes := homeserver.New(loggingRunner{g.withEligibility(runner, g.checkOwn), g.log, g.options.Now, &g.attempts}, counters, noopObserver{}, g.options.Now, g.homesConfig)
+func (g *Gateway) newHomes(runner *crossZoneRunner, counters *observe.Metrics, crashes *crashDetector) *homeserver.Server {
+	homes := homeserver.New(loggingRunner{g.withEligibility(runner, g.checkOwn), g.log, g.options.Now, &g.attempts}, counters, crashes, g.options.Now, g.homesConfig)
 	homes.SetOnServerChange(g.logServer)
 	homes.SetConfigOverride(g.configureHome)
 	return homes
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -30,12 +30,20 @@
 
 // checkOwn decides on attempts whose server a home on this host has chosen.
 func (g *Gateway) checkOwn(server backend.Server, call backend.Call) eligible.Reason {
-	return g.rules.Load().CheckZone(server.Zone, call.Forward.Regions)
+	return g.checkRequest(call, g.rules.Load().CheckZone(server.Zone, call.Forward.Regions))
 }
 
 // checkForPeer decides on attempts whose server another host has chosen.
 func (g *Gateway) checkForPeer(server backend.Server, call backend.Call) eligible.Reason {
-	return g.rules.Load().CheckForwarded(g.options.Now(), server.Name, server.Zone, call.Forward.Regions)
+	return g.checkRequest(call, g.rules.Load().CheckForwarded(g.options.Now(), server.Name, server.Zone, call.Forward.Regions))
+}
+
+// checkRequest decides whether the request may be sent to a server that is allowed to get it.
+func (g *Gateway) checkRequest(call backend.Call, server eligible.Reason) eligible.Reason {
+	if server == eligible.Allowed && !g.crashDetector.mayBeSent(call.Forward, call.Body) {
+		return eligible.RequestHeldBack
+	}
+	return server
 }
 
 func (g *Gateway) withEligibility(runner backend.Runner, check func(backend.Server, backend.Call) eligible.Reason) backend.Runner {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	proxyServer     *proxyServer
 	homeLegRunner   *homeLegRunner
 	remoteForecasts *remoteForecasts
+	crashDetector   *crashDetector
 	// runCtx ends after the planned stop, and links to peers end with it.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -290,6 +291,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.crashDetector.registry.Reconfigure(next.compiled)
 	g.configureWarming(next)
 	g.timeouts.prune(next.targets)
 	g.remoteForecasts.prune(next.hasService)
--- a/gateway/home_legs.go
+++ b/gateway/home_legs.go
@@ -62,6 +62,7 @@
 	if request.FullAnswer {
 		return s.fullPart(request, done)
 	}
+	request.Fingerprint = uint64(fingerprintOf(request.Forward, request.Body))
 	s.running.Add(1)
 	s.counter.Inc()
 	return s.local.Run(request, func(res leg.Result) {
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/entry"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
@@ -16,7 +15,6 @@
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/place"
-	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
 // homes decides which host is the home of each service. Services of split searches (see
@@ -221,14 +219,3 @@
 func (h localHomes) Forecast(service, class string) leg.Forecast {
 	return h.local.Forecast(service, class)
 }
-
-// noopObserver is a homeserver.AttemptObserver that suspects no request.
-type noopObserver struct{}
-
-func (noopObserver) Started(ident.AttemptID, backend.Server, uint64) {}
-
-func (noopObserver) Ended(ident.AttemptID, backend.Server, uint64, backend.CallResult) bool {
-	return false
-}
-
-func (noopObserver) CheckLeg(leg.Request) *result.Error { return nil }
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -125,3 +125,14 @@
 func (noopCounter) Attempt(string, bool, bool)       {}
 func (noopCounter) AttemptEnd(string, backend.Fault) {}
 func (noopCounter) Cancelled(string)                 {}
+
+// noopObserver is a homeserver.AttemptObserver that suspects no request.
+type noopObserver struct{}
+
+func (noopObserver) Started(ident.AttemptID, backend.Server, uint64) {}
+
+func (noopObserver) Ended(ident.AttemptID, backend.Server, uint64, backend.CallResult) bool {
+	return false
+}
+
+func (noopObserver) CheckLeg(leg.Request) *result.Error { return nil }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
@@ -113,8 +114,23 @@
 }
 
 func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
+	fingerprint := fingerprintOf(q.Forward, q.Body)
+	admission := g.crashDetector.admit(fingerprint)
+	if refusal := admission.Refusal; refusal != nil {
+		answer := newRefusal(refusal.Code, refusal.Detail, refusal.RetryAfter)
+		g.logRefusal(q, c, answer)
+		return answer
+	}
 	querySpec := g.querySpec(c, r, service, q)
+	querySpec.Fingerprint = uint64(fingerprint)
+	if admission.Canary {
+		querySpec.Canary, querySpec.MaxServers = true, 1
+		defer g.crashDetector.suspects.EndCanary(fingerprint)
+	}
 	answer := g.coordinators.of(&querySpec).Run(ctx, querySpec)
+	if len(answer.Parts) > 0 {
+		g.crashDetector.suspects.RecordAnswer(g.options.Now(), fingerprint)
+	}
 	ctx, cancel := context.WithDeadline(ctx, querySpec.Deadline)
 	defer cancel()
 	out := toAnswer(ctx, r, answer)
@@ -122,7 +138,7 @@
 	class := className(r) // callers are not identified; the host name stands for them
 	g.metrics.Request(r.Host, class, answer.Code, took)
 	g.metrics.Coverage(r.Host, class, len(answer.Parts), answer.Total)
-	g.logAnswer(c, r, q, answer, took)
+	g.logAnswer(c, r, q, fingerprint, answer, took)
 	return out
 }
 
@@ -225,9 +241,9 @@
 	return c.table.Config.Version
 }
 
-func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, a *scatter.Answer, took time.Duration) {
+func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, fingerprint quarantine.Fingerprint, a *scatter.Answer, took time.Duration) {
 	fields := []zap.Field{
-		zap.String("request", q.Forward.AttemptID), zap.Stringer("fingerprint", fingerprintOf(q.Forward, q.Body)),
+		zap.String("request", q.Forward.AttemptID), zap.Stringer("fingerprint", fingerprint),
 		zap.String("route", r.Name), zap.Uint64("config", versionOf(c)),
 		zap.Stringer("code", a.Code), zap.Int("parts", len(a.Parts)), zap.Int("total", a.Total),
 		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -83,6 +83,7 @@
 	}
 	g.rules.Store(rules)
 	g.inService.Store(&inService)
+	g.crashDetector.observeServers(inService)
 	g.proxyServer.setServers(inService)
 	g.homes.SetServers(byService)
 	g.countZones()
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -74,6 +74,8 @@
 	Server            string
 	ServerIncarnation uint64
 	InFlight          int // requests in flight at the server, this one included
+	// Canary is set if the request was a suspect before and ran on this server alone.
+	Canary bool
 }
 
 // ReceivedUpdates holds received updates for users of this package.
@@ -135,6 +137,7 @@
 		Server:            update.Server,
 		ServerIncarnation: update.ServerIncarnation,
 		InFlight:          uint32(update.InFlight),
+		Canary:            update.Canary,
 	})
 }
 
@@ -323,6 +326,7 @@
 		Server:            update.Server,
 		ServerIncarnation: update.ServerIncarnation,
 		InFlight:          int(update.InFlight),
+		Canary:            update.Canary,
 	}
 }
 
--- a/quarantine/lostquery.go
+++ b/quarantine/lostquery.go
@@ -65,9 +65,7 @@
 
 func (r *Registry) addLostQueryVerdict(now time.Time, q *lostQuery) {
 	e := Evidence{Fingerprint: q.fingerprint, Server: lostQueryServer, Incarnation: uint64(q.at.UnixNano()), InFlight: 1}
-	r.knownEvidence.Add(e, struct{}{})
-	until := now.Add(time.Duration(r.cfg.Policy.QuarantineDuration))
-	r.verdicts.Add(q.fingerprint, verdict{since: now, until: until, evidence: []Evidence{e}})
+	r.addVerdict(now, q.fingerprint, []Evidence{e})
 }
 
 // lostQueryServer stands in the evidence for the servers of all the query's legs.
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -100,6 +100,10 @@
 func (r *Registry) Check(now time.Time, f Fingerprint) *result.Error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.check(now, f)
+}
+
+func (r *Registry) check(now time.Time, f Fingerprint) *result.Error {
 	if override, ok := r.cfg.Override(f.String()); ok {
 		if !override.Refuse {
 			return nil
@@ -150,7 +154,7 @@
 func (r *Registry) sinceLastCrash(now time.Time, f Fingerprint, service string) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if override, ok := r.cfg.Override(f.String()); ok && !override.Refuse {
+	if r.isReleased(f) {
 		return 0, false
 	}
 	if r.suspects[f] == 0 {
@@ -163,6 +167,12 @@
 	return now.Sub(crashes[len(crashes)-1].at), true
 }
 
+// isReleased reports whether an operator has declared the request innocent.
+func (r *Registry) isReleased(f Fingerprint) bool {
+	override, ok := r.cfg.Override(f.String())
+	return ok && !override.Refuse
+}
+
 // RecordCrash records a crash. It returns the fingerprint that is quarantined for
 // it, if any.
 func (r *Registry) RecordCrash(now time.Time, crash Crash) (Fingerprint, bool) {
--- /dev/null
+++ b/quarantine/suspects.go
@@ -0,0 +1,373 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+const (
+	// suspectServers is how many servers must crash under a request before it is a
+	// suspect. A request on a single crashed server is most likely a bystander.
+	suspectServers = 2
+	// verdictServers is how many servers must crash under a suspect for a verdict, at least
+	// one of them under a canary.
+	verdictServers = 3
+	// maxCanaryJitter spreads the canaries of different hosts, so that most of them hear how
+	// the first one ended.
+	maxCanaryJitter = time.Second
+	// canaryRetryAfter is when a request may come again that arrived during a canary.
+	canaryRetryAfter = 100 * time.Millisecond
+	// answeredGrace is how long after an answer late reports on the request are ignored.
+	answeredGrace = 2 * time.Second
+	// maxUnrelatedCrashes is how many other servers may crash within massCrashWindow of a
+	// canary's server for the canary to count.
+	maxUnrelatedCrashes = 4
+	// suspicionTTL is how long a report counts: longer than a verdict, so that a request runs
+	// as a canary first when its verdict has ended.
+	suspicionTTL = 30 * time.Minute
+	maxSuspects  = 4096
+	// maxReports bounds the reports on one request.
+	maxReports = 32
+)
+
+// Report says that a request ran, or may have run, on a server when it crashed. Hosts
+// exchange the reports on suspects.
+type Report struct {
+	Fingerprint Fingerprint
+	Server      string
+	Incarnation uint64
+	// Canary is set if the request was a suspect already when it was sent to the server.
+	Canary bool
+}
+
+// Suspects finds requests that crash the servers that run them, where each host sees a part
+// of their attempts only. A request under which several servers crash and that none answers
+// is a suspect: all hosts hold it back for a while, and then let one at a time run, as a
+// canary, on one server. An answer clears it; if the server crashes, it is quarantined.
+//
+// Suspects is safe for concurrent use.
+type Suspects struct {
+	registry *Registry
+	host     string // name of this host, for the canary jitter
+
+	// all fields below are guarded by registry.mu
+	suspects *lru.Cache[Fingerprint, *suspect]
+}
+
+// suspect holds the reports on one request. It is a suspect once it has reports on
+// suspectServers servers.
+type suspect struct {
+	reports []timedReport // one for each incarnation of a server
+	canary  bool          // a canary runs on this host
+}
+
+type timedReport struct {
+	Report
+	at time.Time // when this host recorded it
+	// announced is set if other hosts know of it.
+	announced bool
+}
+
+// NewSuspects returns an empty list of suspects whose verdicts are added to the registry.
+func NewSuspects(registry *Registry, host string) *Suspects {
+	return &Suspects{registry: registry, host: host, suspects: newCache[Fingerprint, *suspect](maxSuspects)}
+}
+
+// Admission is the decision on a request at its entry host.
+type Admission struct {
+	// Refusal is the reason why the request is not run; nil if it may run.
+	Refusal *result.Error
+	// Canary is set if the request must run on one server before it is sent to any others.
+	// EndCanary must be called when it has ended.
+	Canary bool
+}
+
+// Admit decides on a request that arrives at this host.
+func (s *Suspects) Admit(now time.Time, f Fingerprint) Admission {
+	r := s.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refusal := s.check(now, f); refusal != nil {
+		return Admission{Refusal: refusal}
+	}
+	p, ok := s.suspects.Peek(f)
+	if !ok || !p.isSuspect(now) || r.isReleased(f) {
+		return Admission{}
+	}
+	if p.canary {
+		return Admission{Refusal: suspected(f, canaryRetryAfter)}
+	}
+	p.canary = true
+	return Admission{Canary: true}
+}
+
+// EndCanary is called when a canary has ended, however it did.
+func (s *Suspects) EndCanary(f Fingerprint) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	if p, ok := s.suspects.Peek(f); ok {
+		p.canary = false
+	}
+}
+
+// Check returns the refusal of a request that must not be sent to any server now, or nil. It
+// is asked right before each attempt is sent.
+func (s *Suspects) Check(now time.Time, f Fingerprint) *result.Error {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	return s.check(now, f)
+}
+
+func (s *Suspects) check(now time.Time, f Fingerprint) *result.Error {
+	if refusal := s.refusal(now, f); refusal != nil {
+		return refusal
+	}
+	p, ok := s.suspects.Peek(f)
+	if !ok || !p.isSuspect(now) || s.registry.isReleased(f) {
+		return nil
+	}
+	if left := p.lastReport().Add(s.backoff(f)).Sub(now); left > 0 {
+		return suspected(f, left)
+	}
+	if !s.isProven(now, f, p) {
+		return nil
+	}
+	s.registry.addVerdict(now, f, p.evidence())
+	return s.refusal(now, f)
+}
+
+// refusal returns the refusal of a quarantined request with the time until the verdict ends,
+// or nil.
+func (s *Suspects) refusal(now time.Time, f Fingerprint) *result.Error {
+	refusal := s.registry.check(now, f)
+	if refusal == nil {
+		return nil
+	}
+	if v, ok := s.registry.verdicts.Peek(f); ok {
+		refusal.RetryAfter = v.until.Sub(now)
+	}
+	return refusal
+}
+
+func suspected(f Fingerprint, retryAfter time.Duration) *result.Error {
+	refusal := result.Errorf(result.Suspected, "servers crashed under request %s; it is tried again one at a time", f)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// IsSuspect reports whether the request is a suspect or quarantined. Its legs must not be
+// tried on another server.
+func (s *Suspects) IsSuspect(now time.Time, f Fingerprint) bool {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	if s.registry.check(now, f) != nil {
+		return true
+	}
+	p, ok := s.suspects.Peek(f)
+	return ok && p.isSuspect(now)
+}
+
+// Empty reports whether no request has any report against it.
+func (s *Suspects) Empty() bool {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	return s.suspects.Len() == 0 && s.registry.verdicts.Len() == 0
+}
+
+// RecordCrash records a crash that this host has seen. It returns the reports on suspects
+// that the other hosts do not know yet.
+func (s *Suspects) RecordCrash(now time.Time, crash Crash) (announce []Report) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	for _, c := range crash.Suspects {
+		f := c.Fingerprint
+		if answered, ok := s.registry.lastSuccess.Peek(f); ok && !answered.Before(c.Started) {
+			continue // another server has answered it meanwhile
+		}
+		report := Report{Fingerprint: f, Server: crash.Name, Incarnation: crash.Incarnation}
+		if p, ok := s.suspects.Peek(f); ok {
+			report.Canary = p.isSuspect(now) && c.Started.Sub(p.lastReport()) >= sameEventWindow
+		}
+		if s.add(now, report, false) {
+			announce = append(announce, s.takeUnannounced(now, f)...)
+		}
+	}
+	return announce
+}
+
+// Merge records a report of another host.
+func (s *Suspects) Merge(now time.Time, report Report) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	if answered, ok := s.registry.lastSuccess.Peek(report.Fingerprint); ok && now.Sub(answered) <= answeredGrace {
+		return
+	}
+	s.add(now, report, true)
+}
+
+// RetractCrash drops the reports on a server that turned out not to have crashed.
+func (s *Suspects) RetractCrash(server Server) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	for _, f := range s.suspects.Keys() {
+		p, _ := s.suspects.Peek(f)
+		p.drop(server)
+		if len(p.reports) == 0 {
+			s.suspects.Remove(f)
+		}
+	}
+}
+
+// RecordAnswer clears a request that a server has run without crashing.
+func (s *Suspects) RecordAnswer(now time.Time, f Fingerprint) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	s.registry.lastSuccess.Add(f, now)
+	if s.suspects.Len() > 0 {
+		s.suspects.Remove(f)
+	}
+	if s.registry.verdicts.Len() > 0 {
+		s.registry.verdicts.Remove(f)
+	}
+}
+
+// add adds a report unless it is known already.
+func (s *Suspects) add(now time.Time, report Report, announced bool) bool {
+	p, ok := s.suspects.Get(report.Fingerprint)
+	if !ok {
+		p = &suspect{}
+		s.suspects.Add(report.Fingerprint, p)
+	}
+	p.expire(now)
+	if p.has(report.Server, report.Incarnation) || len(p.reports) >= maxReports {
+		return false
+	}
+	p.reports = append(p.reports, timedReport{Report: report, at: now, announced: announced})
+	return true
+}
+
+// takeUnannounced returns the reports that the other hosts need in order to treat the
+// request as a suspect: enough servers, and each canary.
+func (s *Suspects) takeUnannounced(now time.Time, f Fingerprint) (reports []Report) {
+	p, ok := s.suspects.Peek(f)
+	if !ok || !p.isSuspect(now) {
+		return nil
+	}
+	known := 0
+	for i := range p.reports {
+		t := &p.reports[i]
+		if !t.announced && (t.Canary || known < verdictServers) {
+			t.announced = true
+			reports = append(reports, t.Report)
+		}
+		if t.announced {
+			known++
+		}
+	}
+	return reports
+}
+
+// backoff is how long this host keeps a suspect from all servers after a report on it. The
+// crashes that are part of the same event have been reported by then.
+func (s *Suspects) backoff(f Fingerprint) time.Duration {
+	digest := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(s.host), uint64(f)))
+	return suspectBackoff + time.Duration(digest%uint64(maxCanaryJitter))
+}
+
+// isProven reports whether enough servers have crashed under the request, at least one of
+// them under a canary that can't be explained otherwise.
+func (s *Suspects) isProven(now time.Time, f Fingerprint, p *suspect) bool {
+	if p.servers(now) < verdictServers {
+		return false
+	}
+	for _, t := range p.reports {
+		if t.Canary && now.Sub(t.at) <= evidenceTTL && !s.isExplained(now, f, p, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// isExplained reports whether a crash has another likely cause than the request: another
+// suspect ran on the same server, or many servers crashed at the time on which the request
+// did not run. Crashes under the canaries of other suspects have a cause of their own.
+func (s *Suspects) isExplained(now time.Time, f Fingerprint, p *suspect, crash timedReport) bool {
+	unrelated := make(map[string]bool)
+	for _, other := range s.suspects.Keys() {
+		q, _ := s.suspects.Peek(other)
+		if other == f {
+			continue
+		}
+		if q.isSuspect(now) && q.has(crash.Server, crash.Incarnation) {
+			return true
+		}
+		for _, t := range q.reports {
+			if !t.Canary && t.at.Sub(crash.at).Abs() <= massCrashWindow && !p.has(t.Server, t.Incarnation) {
+				unrelated[t.Server] = true
+			}
+		}
+	}
+	return len(unrelated) > maxUnrelatedCrashes
+}
+
+// isSuspect reports whether enough servers have crashed under the request lately.
+func (p *suspect) isSuspect(now time.Time) bool { return p.servers(now) >= suspectServers }
+
+// servers is the number of incarnations of servers with a report that still counts.
+func (p *suspect) servers(now time.Time) int {
+	n := 0
+	for _, t := range p.reports {
+		if now.Sub(t.at) <= suspicionTTL {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *suspect) evidence() (all []Evidence) {
+	for _, t := range p.reports {
+		all = append(all, Evidence{Fingerprint: t.Fingerprint, Server: t.Server, Incarnation: t.Incarnation, InFlight: 1})
+	}
+	return all
+}
+
+func (p *suspect) lastReport() time.Time {
+	if len(p.reports) == 0 {
+		return time.Time{}
+	}
+	return p.reports[len(p.reports)-1].at
+}
+
+func (p *suspect) has(server string, incarnation uint64) bool {
+	for _, t := range p.reports {
+		if t.Server == server && t.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *suspect) drop(server Server) {
+	kept := p.reports[:0]
+	for _, t := range p.reports {
+		if t.Server != server.Name || t.Incarnation != server.Incarnation {
+			kept = append(kept, t)
+		}
+	}
+	p.reports = kept
+}
+
+func (p *suspect) expire(now time.Time) {
+	kept := p.reports[:0]
+	for _, t := range p.reports {
+		if now.Sub(t.at) <= suspicionTTL {
+			kept = append(kept, t)
+		}
+	}
+	p.reports = kept
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -151,6 +151,19 @@
 	return on.handleIncarnation(now, incarnation)
 }
 
+// Retain forgets the servers that are not listed any more and have no attempt whose end or
+// whose effect is open.
+func (t *Tracker) Retain(now time.Time, listed func(name string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.servers {
+		s.expire(now)
+		if !listed(name) && len(s.running)+len(s.lingering)+len(s.broken) == 0 {
+			delete(t.servers, name)
+		}
+	}
+}
+
 // InFlight reports whether a request with the fingerprint runs on any server
 // of the service.
 func (t *Tracker) InFlight(service string, f Fingerprint) bool {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -39,7 +39,7 @@
 	if !r.enoughEvents(now, crashes, f) || !r.mostCrashes(now, crashes, service) || !hasBlameLead(crashes, f) {
 		return false
 	}
-	r.addVerdict(now, f, crashes)
+	r.addVerdict(now, f, evidenceOf(f, crashes))
 	for _, c := range crashes {
 		r.clearAll(c)
 	}
@@ -110,12 +110,18 @@
 	return true
 }
 
-func (r *Registry) addVerdict(now time.Time, f Fingerprint, crashes []*recordedCrash) {
-	v := verdict{since: now, until: now.Add(time.Duration(r.cfg.Policy.QuarantineDuration))}
+// evidenceOf returns the crashes as evidence against the request.
+func evidenceOf(f Fingerprint, crashes []*recordedCrash) (evidence []Evidence) {
 	for _, c := range crashes {
-		e := Evidence{Fingerprint: f, Server: c.Name, Incarnation: c.Incarnation, InFlight: uint32(len(c.Suspects))}
-		v.evidence = append(v.evidence, e)
+		evidence = append(evidence, Evidence{Fingerprint: f, Server: c.Name, Incarnation: c.Incarnation, InFlight: uint32(len(c.Suspects))})
+	}
+	return evidence
+}
+
+func (r *Registry) addVerdict(now time.Time, f Fingerprint, evidence []Evidence) {
+	until := now.Add(time.Duration(r.cfg.Policy.QuarantineDuration))
+	r.verdicts.Add(f, verdict{since: now, until: until, evidence: evidence})
+	for _, e := range evidence {
 		r.knownEvidence.Add(e, struct{}{})
 	}
-	r.verdicts.Add(f, v)
 }
--- /dev/null
+++ b/scatter/canary.go
@@ -0,0 +1,37 @@
+package scatter
+
+import (
+	"encoding/binary"
+
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+)
+
+// noCanary is the shard of a query without a canary.
+const noCanary = -1
+
+// chooseCanary returns the shard whose leg is sent before the others, spread by the request
+// id. Shards that would answer late are avoided.
+func (r *run) chooseCanary() int {
+	shards := len(r.spec.Snapshot.Shards)
+	first := int(binary.BigEndian.Uint32(r.spec.Request[:]) % uint32(shards))
+	for n := range shards {
+		i := (first + n) % shards
+		if r.optional == nil || !r.optional[i] {
+			return i
+		}
+	}
+	return first
+}
+
+// endCanary sends the other legs if the canary was answered; otherwise the query has no
+// other leg.
+func (r *run) endCanary(res leg.Result) {
+	sent := r.canary
+	r.canary = noCanary
+	if r.query.classify(res) == VerdictAccepted {
+		r.sendAllExcept(sent)
+		return
+	}
+	r.query.MarkUnsent(sent, result.Suspected, "not sent: the shard that was asked first gave no answer")
+}
--- /dev/null
+++ b/scatter/canary_test.go
@@ -0,0 +1,85 @@
+package scatter
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/snapshot"
+)
+
+// canaryHomes records the legs and ends each with the outcome; ran legs are answered.
+type canaryHomes struct {
+	busyHomes
+	outcome result.Outcome
+	code    result.Code
+	sent    []string
+	took    time.Duration
+}
+
+func (h *canaryHomes) Runner(ident.HostID) (leg.Runner, bool) { return h, true }
+
+func (h *canaryHomes) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
+	h.sent = append(h.sent, request.Service)
+	res := leg.Failed(request, h.code, h.outcome, "")
+	res.Snapshot = request.Snapshot
+	res.Digest = leg.Digest(nil)
+	timer := time.AfterFunc(h.took, func() { done(res) })
+	return func() { timer.Stop() }
+}
+
+func runCanary(t *testing.T, h *canaryHomes, wait time.Duration) (answer *Answer, sentByThen int) {
+	c := NewCoordinator(h, noCounter{}, time.Now, func(string, string, []snapshot.Version) {})
+	s := &snapshot.Snapshot{Version: 1}
+	for i, service := range []string{"a", "b", "c", "d"} {
+		s.Shards = append(s.Shards, snapshot.Shard{ID: snapshot.ShardID(i), Service: service})
+	}
+	h.took = 10 * time.Millisecond
+	now := time.Now()
+	time.AfterFunc(wait, func() { sentByThen = len(h.sent) })
+	answer = c.Run(t.Context(), QuerySpec{Canary: true, Plan: Plan{
+		Snapshot: s, Started: now, Deadline: now.Add(time.Second), MinCoverage: 0.5, Idempotent: true,
+	}})
+	return answer, sentByThen
+}
+
+// Guards against a suspect that reaches all shards before one has survived it.
+func TestCanaryRunsOnOneShardFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &canaryHomes{outcome: result.OutcomeRan}
+		answer, first := runCanary(t, h, 5*time.Millisecond)
+		is.Equal(first, 1)
+		is.Equal(answer.Code, result.Complete)
+		is.Equal(len(h.sent), 4) // the canary's part is used, not asked for again
+	})
+}
+
+// Guards against sending the other legs of a search whose canary was lost, and against
+// reporting that search as not run.
+func TestLostCanaryEndsTheSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &canaryHomes{outcome: result.OutcomeUnknown, code: result.OutcomeNotKnown}
+		answer, _ := runCanary(t, h, 0)
+		is.Equal(len(h.sent), 1)
+		is.True(!answer.Code.NotRun())
+		is.Equal(len(answer.Parts), 0)
+	})
+}
+
+// Guards against reporting a search as possibly run when its canary was refused.
+func TestSearchWithRefusedCanaryHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &canaryHomes{outcome: result.OutcomeRefused, code: result.BackendsRefused}
+		answer, _ := runCanary(t, h, 0)
+		is.Equal(len(h.sent), 1)
+		is.True(answer.Code.NotRun())
+	})
+}
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -42,6 +42,8 @@
 	MaxServers int
 	// Forward is set for a request that is forwarded as its caller sent it.
 	Forward *forward.Request
+	// Canary sends the leg of one shard first, and the others once it has an answer.
+	Canary bool
 }
 
 // Coordinator runs queries. It holds no state between them.
@@ -79,6 +81,9 @@
 	started    time.Time
 	timings    []LegTiming
 	ended      atomic.Bool
+	// canary is the shard whose leg is sent before the others; noCanary if there is none or
+	// it has its answer.
+	canary int
 }
 
 type legResult struct {
@@ -103,6 +108,7 @@
 		mayHaveRun: make([]bool, len(shards)),
 		started:    c.now(),
 		timings:    make([]LegTiming, len(shards)),
+		canary:     noCanary,
 	}
 	if r.spec.Started.IsZero() {
 		r.spec.Started = r.started
@@ -111,7 +117,7 @@
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
 	if r.admit() {
-		r.sendAll()
+		r.start()
 	}
 	for r.query.Answer() == nil {
 		select {
@@ -200,13 +206,29 @@
 	}
 }
 
-func (r *run) sendAll() {
-	for i, shard := range r.spec.Snapshot.Shards {
-		home, _ := r.c.homes.Lookup(shard.Service)
-		r.send(i, home)
+// start sends the canary's leg, or all legs if the query has no canary.
+func (r *run) start() {
+	if r.spec.Canary && r.isMultiShard() {
+		r.canary = r.chooseCanary()
+		r.sendHome(r.canary)
+		return
+	}
+	r.sendAllExcept(noCanary)
+}
+
+func (r *run) sendAllExcept(shard int) {
+	for i := range r.spec.Snapshot.Shards {
+		if i != shard {
+			r.sendHome(i)
+		}
 	}
 }
 
+func (r *run) sendHome(i int) {
+	home, _ := r.c.homes.Lookup(r.spec.Snapshot.Shards[i].Service)
+	r.send(i, home)
+}
+
 func (r *run) send(i int, host ident.HostID) {
 	request := r.request(i)
 	if r.mayHaveRun[i] {
@@ -283,6 +305,9 @@
 		// from the second home does not hold for the whole leg.
 		res.result.Outcome = result.OutcomeUnknown
 	}
+	if res.shard == r.canary {
+		r.endCanary(res.result)
+	}
 	r.c.counter.Verdict(r.query.AddResult(res.result))
 }
 
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -216,6 +216,19 @@
 	q.finish()
 }
 
+// MarkUnsent settles all open shards but the given one, whose legs were never sent. It is
+// called before the result of that shard is added.
+func (q *Query) MarkUnsent(except int, code result.Code, detail string) {
+	for i := range q.shards {
+		shard := &q.shards[i]
+		if i == except || shard.settled {
+			continue
+		}
+		*shard = shardState{settled: true, code: code, detail: detail, outcome: result.OutcomeUnsent}
+		q.open--
+	}
+}
+
 // Cancel ends the query because its caller went away.
 func (q *Query) Cancel() {
 	if q.answer != nil {
