--- a/entry/search_homes.go
+++ b/entry/search_homes.go
@@ -64,9 +64,8 @@
 	if !ShouldSplit(services) {
 		return 0
 	}
-	byZone := largeHostsByZone(view, serversIn)
 	count, others := 0, 0
-	for _, hosts := range byZone {
+	for _, hosts := range largeHostsByZone(view, serversIn) {
 		if sharesAlone(hosts, services) {
 			count++
 		} else {
@@ -76,6 +75,17 @@
 	return count + others
 }
 
+// ShareAcrossZones reports whether callers are directed to hosts of some zone that does not
+// share searches alone.
+func ShareAcrossZones(view *member.View, serversIn map[string]int, services int) bool {
+	for _, hosts := range largeHostsByZone(view, serversIn) {
+		if !sharesAlone(hosts, services) {
+			return true
+		}
+	}
+	return false
+}
+
 // sharesAlone reports whether the hosts of one zone can share a search without other
 // zones.
 func sharesAlone(hosts []member.Host, services int) bool {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -6,7 +6,6 @@
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
-	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
@@ -15,15 +14,6 @@
 const (
 	// hedgeQuantile is the quantile of the service time after which a leg is hedged.
 	hedgeQuantile = 0.92
-	// hedgeShare and retryShare are the shares of the extra-attempt budget for hedges and
-	// retries. The rest is headroom for hosts that count the requests of a service
-	// differently.
-	hedgeShare = 0.56
-	retryShare = 0.25
-	// hedgeInitialFill and retryInitialFill are how full the token buckets are at start: a
-	// fleet that restarts can hedge its first searches, and what the previous processes have
-	// spent in the same window still fits the operator's bound.
-	hedgeInitialFill, retryInitialFill = 0.25, 0.6
 	// crossZonePenaltySeconds is added to the expected finish time at servers in other
 	// zones: traffic between zones is billed, so it is avoided while a local server has
 	// capacity.
@@ -40,14 +30,6 @@
 	maxQueuedLegs = 400
 )
 
-// Budget bounds the attempts at a service beyond the first of each request, summed over
-// all hosts in any window.
-type Budget struct {
-	Ratio  float64       // extra attempts per request
-	Slack  float64       // extra attempts regardless of load
-	Window time.Duration // 0 if unknown; Slack is then not replenished
-}
-
 // configuration is one compiled, immutable version of the operator's configuration.
 type configuration struct {
 	revision      metastore.Revision // in the store
@@ -143,33 +125,3 @@
 func className(r *route.Route) string {
 	return fmt.Sprintf("p%d-%v", r.Priority, r.TargetLatency)
 }
-
-// slackRefillShare is the share of a host's slack that refills over each window; the rest is
-// burst. Together they never exceed the slack in a window.
-const slackRefillShare = 0.4
-
-// homeOption returns a function that sets one host's share of the budget: the ratio applies
-// to each host's own requests, and the slack is divided by the hosts that may be advised at
-// the same time while their views differ.
-func (b Budget) homeOption(hosts int) func(*home.Config) {
-	slack := b.Slack / float64(max(hosts, 1))
-	rate := 0.0
-	if b.Window > 0 {
-		rate = slackRefillShare * slack / b.Window.Seconds()
-		slack *= 1 - slackRefillShare
-	}
-	return func(config *home.Config) {
-		config.HedgeBudget = hedgeShare * b.Ratio
-		config.RetryBudget = retryShare * b.Ratio
-		config.HedgeBurst = max(1, hedgeShare*slack)
-		config.RetryBurst = max(1, retryShare*slack)
-		config.HedgeInitialFill, config.RetryInitialFill = hedgeInitialFill, retryInitialFill
-		config.HedgesPerSecond = hedgeShare * rate
-		config.RetriesPerSecond = retryShare * rate
-		config.ChargeRefusals = true
-		config.SlowStartReplies = slowStartReplies
-		config.ReserveReportedLoad = true
-		config.AvoidStalled = true
-		config.CrossZonePenaltySeconds = crossZonePenaltySeconds
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,19 +117,21 @@
 	cancelRun context.CancelFunc
 
 	reloadable  atomic.Pointer[ReloadableOptions]
-	budgetHosts atomic.Int64 // hosts that the budget's slack is divided by
-	// budgetHomes is the same for services of split searches.
-	budgetHomes  atomic.Int64
-	inForce      atomic.Pointer[configuration]
-	zoneServers  atomic.Pointer[map[string]int] // backend servers by zone
-	zonesMu      sync.Mutex                     // held while zoneServers and split are computed
-	split        atomic.Pointer[splitServices]
-	stop         atomic.Pointer[drain.Stop]
-	inFlight     atomic.Int64
-	bodyBytes    atomic.Int64 // request body bytes in flight
-	attempts     atomic.Int64 // at backend servers since start
-	timeouts     callerTimeouts
-	reportedLoad atomic.Uint32 // load reported to peers, in thousandths
+	budgetRoles atomic.Pointer[budgetRoles]
+	// budgetPlacement is the placement of the homes that the budget was last divided for.
+	// It and budgetBasis are used by divideBudget only.
+	budgetPlacement *placement
+	budgetBasis     budgetBasis
+	inForce         atomic.Pointer[configuration]
+	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
+	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
+	split           atomic.Pointer[splitServices]
+	stop            atomic.Pointer[drain.Stop]
+	inFlight        atomic.Int64
+	bodyBytes       atomic.Int64 // request body bytes in flight
+	attempts        atomic.Int64 // at backend servers since start
+	timeouts        callerTimeouts
+	reportedLoad    atomic.Uint32 // load reported to peers, in thousandths
 	// serversRevision is the store revision of the last change of the servers.
 	serversRevision atomic.Uint64
 	events          chan func()   // for the control loop
@@ -172,8 +174,7 @@
 	}
 	g.newestIncarnations = newest
 	g.reloadable.Store(&options.ReloadableOptions)
-	g.budgetHosts.Store(minBudgetHosts)
-	g.budgetHomes.Store(minBudgetHosts)
+	g.budgetRoles.Store(&initialBudgetRoles)
 	g.runCtx, g.cancelRun = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.cancelRun()
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -43,6 +43,33 @@
 	hosts      []ident.HostID
 	address    map[ident.HostID]string // peer addresses
 	homes      *place.Homes            // nil if no service is spread
+	// elsewhere holds the homes for zones whose own hosts don't share searches alone; nil if
+	// this host is none of them, or homes are the same.
+	elsewhere      *place.Homes
+	elsewhereHosts []ident.HostID
+}
+
+// sameHomes reports whether two placements have the same homes.
+func (p *placement) sameHomes(other *placement) bool {
+	return other != nil && p.homes == other.homes && p.elsewhere == other.elsewhere
+}
+
+// areSpread reports whether the services of split searches are spread over several hosts.
+func (h *homes) areSpread() bool { return h.current().homes != nil }
+
+// isHome reports whether this host is the home of the service for searches of any
+// availability zone.
+func (h *homes) isHome(service string) bool {
+	p := h.current()
+	return lookupIs(p.homes, service, h.self) || lookupIs(p.elsewhere, service, h.self)
+}
+
+func lookupIs(homes *place.Homes, service string, host ident.HostID) bool {
+	if homes == nil {
+		return false
+	}
+	found, _ := homes.Lookup(service)
+	return found == host
 }
 
 // Lookup implements scatter.Homes. The fallback is this host, so that legs of a lost home fail
@@ -166,6 +193,7 @@
 		chosen[i].Region = "" // zone names are unique across regions
 	}
 	slices.Sort(next.hosts)
+	h.placeElsewhere(next, largest, previous)
 	if previous != nil && previous.homes != nil && slices.Equal(previous.hosts, next.hosts) && sameServices(previous.services, services) {
 		next.homes = previous.homes
 		return next
@@ -177,6 +205,27 @@
 	return next
 }
 
+// placeElsewhere sets the homes for searches of other zones that this host may be one of.
+func (h *homes) placeElsewhere(next *placement, largest int, previous *placement) {
+	if !entry.ShareAcrossZones(next.membership, h.zones(), largest) {
+		return
+	}
+	chosen := entry.SearchHomes(next.membership, h.zones(), largest, "")
+	for i := range chosen {
+		next.elsewhereHosts = append(next.elsewhereHosts, chosen[i].ID)
+		chosen[i].Region = ""
+	}
+	slices.Sort(next.elsewhereHosts)
+	if !slices.Contains(next.elsewhereHosts, h.self) || slices.Equal(next.elsewhereHosts, next.hosts) {
+		return
+	}
+	if previous != nil && previous.elsewhere != nil && slices.Equal(previous.elsewhereHosts, next.elsewhereHosts) && sameServices(previous.services, next.services) {
+		next.elsewhere = previous.elsewhere
+		return
+	}
+	next.elsewhere = place.New(&member.View{Hosts: chosen}, next.services)
+}
+
 // remoteHomeRunner runs legs at a home on another host.
 type remoteHomeRunner struct {
 	links     *exchange.Client
