--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -124,7 +124,7 @@
 	querySpec := g.querySpec(c, r, service, q)
 	querySpec.Fingerprint = uint64(fingerprint)
 	if admission.Canary {
-		querySpec.Canary, querySpec.MaxServers = true, 1
+		querySpec.Canary = true
 		defer g.crashDetector.suspects.EndCanary(fingerprint)
 	}
 	answer := g.coordinators.of(&querySpec).Run(ctx, querySpec)
--- a/scatter/canary.go
+++ b/scatter/canary.go
@@ -24,6 +24,14 @@
 	return first
 }
 
+// maxServers bounds the backend servers that may run a leg. A canary runs on one.
+func (r *run) maxServers(shard int) int {
+	if r.spec.Canary && (shard == r.canary || !r.isMultiShard()) {
+		return 1
+	}
+	return r.spec.MaxServers
+}
+
 // endCanary sends the other legs if the canary was answered; otherwise the query has no
 // other leg.
 func (r *run) endCanary(res leg.Result) {
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -269,7 +269,7 @@
 		Body:         r.spec.Body,
 		SoftDeadline: r.softCutOff(),
 		Optional:     r.optional != nil && r.optional[i],
-		MaxServers:   r.spec.MaxServers,
+		MaxServers:   r.maxServers(i),
 		Forward:      r.spec.Forward,
 	}
 }
