--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -179,3 +181,19 @@
 	tracker.Retain(start, func(string) bool { return false })
 	is.Equal(len(tracker.servers), 1) // an attempt at the other one is open
 }
+
+// BenchmarkUnsuspectedRequest measures what a request costs that has no report against it: its
+// fingerprint, the decision on arrival, and one attempt with its answer.
+func BenchmarkUnsuspectedRequest(b *testing.B) {
+	s, tracker := newTestSuspects(), NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	for i := range b.N {
+		f := FingerprintOf(fmt.Sprintf("GET /slots/%x", i), "screens", nil)
+		s.Admit(start, f)
+		id := ident.AttemptID(i)
+		tracker.AttemptStarted(start, id, server, f)
+		s.Empty()
+		tracker.AttemptEnded(start, id, result.OutcomeRan, backend.FaultNone, 0)
+		s.RecordAnswer(start, f)
+	}
+}
