--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -210,7 +211,7 @@
 	s.add(now, report, true)
 }
 
-// RetractCrash drops the reports on a server that turned out not to have crashed.
+// RetractCrash drops the reports on a server that has not crashed after all.
 func (s *Suspects) RetractCrash(server Server) {
 	s.registry.mu.Lock()
 	defer s.registry.mu.Unlock()
@@ -244,9 +245,12 @@
 		s.suspects.Add(report.Fingerprint, p)
 	}
 	p.expire(now)
-	if p.has(report.Server, report.Incarnation) || len(p.reports) >= maxReports {
+	if p.has(report.Server, report.Incarnation) {
 		return false
 	}
+	if len(p.reports) >= maxReports { // the newest may be a canary's; the first are announced
+		p.reports = slices.Delete(p.reports, verdictServers, verdictServers+1)
+	}
 	p.reports = append(p.reports, timedReport{Report: report, at: now, announced: announced})
 	return true
 }
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -182,6 +182,20 @@
 	is.Equal(len(tracker.servers), 1) // an attempt at the other one is open
 }
 
+// Guards against a search that crashes so many servers at once that the crash of its canary is
+// not recorded, and that is tried again and again.
+func TestCanaryOfALargeSearchIsProof(t *testing.T) {
+	is := is.New(t)
+	s := newTestSuspects()
+	s.crashUnder(start, 4*maxReports, poison)
+	now := start.Add(longestBackoff)
+	is.True(s.Admit(now, poison).Canary)
+	is.Equal(len(s.crashUnder(now.Add(20*time.Millisecond), 1, poison)), 1)
+	s.EndCanary(poison)
+	is.Equal(codeOf(s.Admit(now.Add(30*time.Millisecond), poison)), result.Suspected)
+	is.Equal(codeOf(s.Admit(now.Add(2*longestBackoff), poison)), result.Quarantined)
+}
+
 // BenchmarkUnsuspectedRequest measures what a request costs that has no report against it: its
 // fingerprint, the decision on arrival, and one attempt with its answer.
 func BenchmarkUnsuspectedRequest(b *testing.B) {
