--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -118,6 +118,21 @@
 	is.Equal(codeOf(s.Admit(next.Add(2*longestBackoff), poison)), result.Quarantined)
 }
 
+// Guards against a request without a verdict because other requests ran on the servers that its
+// canaries crashed.
+func TestBystandersDoNotExplainTheCrashOfACanary(t *testing.T) {
+	is := is.New(t)
+	s := newTestSuspects()
+	s.crashUnder(start, 3, poison)
+	now := start.Add(longestBackoff)
+	is.True(s.Admit(now, poison).Canary)
+	s.RecordCrash(now.Add(20*time.Millisecond), crashOf("canary", 1, now, poison, 1))
+	s.RecordCrash(now.Add(50*time.Millisecond), crashOf("canary of another host", 1, now, 1))
+	is.True(s.IsSuspect(now.Add(time.Second), 1))
+	s.EndCanary(poison)
+	is.Equal(codeOf(s.Admit(now.Add(longestBackoff+time.Second), poison)), result.Quarantined)
+}
+
 // Guards against a verdict on a suspect whose canary ran when many servers lost power.
 func TestCanaryInOutageIsNoProof(t *testing.T) {
 	is := is.New(t)
