--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -74,6 +74,14 @@
 	announced bool
 }
 
+// instance is one incarnation of a server.
+type instance struct {
+	server      string
+	incarnation uint64
+}
+
+func (r Report) instance() instance { return instance{r.Server, r.Incarnation} }
+
 // NewSuspects returns an empty list of suspects whose verdicts are added to the registry.
 func NewSuspects(registry *Registry, host string) *Suspects {
 	return &Suspects{registry: registry, host: host, suspects: newCache[Fingerprint, *suspect](maxSuspects)}
@@ -298,25 +306,48 @@
 }
 
 // isExplained reports whether a crash has another likely cause than the request: another
-// suspect ran on the same server, or many servers crashed at the time on which the request
-// did not run. Crashes under the canaries of other suspects have a cause of their own.
+// request that crashed servers of its own ran on the same server, or many servers crashed at
+// the time on which the request did not run. The crash of a canary's server is that canary's,
+// so a request that merely ran beside canaries has no crash of its own.
 func (s *Suspects) isExplained(now time.Time, f Fingerprint, p *suspect, crash timedReport) bool {
+	byCanary := s.canaryCrashes()
 	unrelated := make(map[string]bool)
 	for _, other := range s.suspects.Keys() {
 		q, _ := s.suspects.Peek(other)
 		if other == f {
 			continue
 		}
-		if q.isSuspect(now) && q.has(crash.Server, crash.Incarnation) {
+		beside, canary, own := false, false, false
+		for _, t := range q.reports {
+			switch {
+			case t.instance() == crash.instance():
+				beside, canary = true, t.Canary
+			case p.has(t.Server, t.Incarnation) || byCanary[t.instance()]:
+			default:
+				own = true
+				if t.at.Sub(crash.at).Abs() <= massCrashWindow {
+					unrelated[t.Server] = true
+				}
+			}
+		}
+		if beside && (canary || own && q.isSuspect(now)) {
 			return true
 		}
+	}
+	return len(unrelated) > maxUnrelatedCrashes
+}
+
+// canaryCrashes returns the servers that crashed under the canary of any request.
+func (s *Suspects) canaryCrashes() map[instance]bool {
+	servers := make(map[instance]bool)
+	for _, q := range s.suspects.Values() {
 		for _, t := range q.reports {
-			if !t.Canary && t.at.Sub(crash.at).Abs() <= massCrashWindow && !p.has(t.Server, t.Incarnation) {
-				unrelated[t.Server] = true
+			if t.Canary {
+				servers[t.instance()] = true
 			}
 		}
 	}
-	return len(unrelated) > maxUnrelatedCrashes
+	return servers
 }
 
 // isSuspect reports whether enough servers have crashed under the request lately.
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -128,11 +128,26 @@
 	is.True(s.Admit(now, poison).Canary)
 	s.RecordCrash(now.Add(20*time.Millisecond), crashOf("canary", 1, now, poison, 1))
 	s.RecordCrash(now.Add(50*time.Millisecond), crashOf("canary of another host", 1, now, 1))
+	s.Merge(now.Add(100*time.Millisecond), Report{Fingerprint: poison, Server: "canary of another host", Incarnation: 1, Canary: true})
 	is.True(s.IsSuspect(now.Add(time.Second), 1))
 	s.EndCanary(poison)
 	is.Equal(codeOf(s.Admit(now.Add(longestBackoff+time.Second), poison)), result.Quarantined)
 }
 
+// Guards against a verdict on a suspect whose canary ran on a server that another request crashed
+// among its first.
+func TestCanaryBesideFirstCrashesOfAnotherRequestIsNoProof(t *testing.T) {
+	is := is.New(t)
+	s := newTestSuspects()
+	s.crashUnder(start, 3, 1)
+	now := start.Add(longestBackoff)
+	is.True(s.Admit(now, 1).Canary)
+	s.RecordCrash(now.Add(10*time.Millisecond), crashOf("shared", 1, now, 1, poison))
+	s.RecordCrash(now.Add(15*time.Millisecond), crashOf("other", 1, now, poison))
+	s.EndCanary(1)
+	is.True(s.Admit(now.Add(2*longestBackoff), 1).Canary)
+}
+
 // Guards against a verdict on a suspect whose canary ran when many servers lost power.
 func TestCanaryInOutageIsNoProof(t *testing.T) {
 	is := is.New(t)
