--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -132,8 +132,8 @@
 		if !refusesConnections(server.Address) {
 			return d.suspects.IsSuspect(d.now(), f)
 		}
-		if event.Crashed == nil {
-			event = d.tracker.ConnectRefused(d.now(), server.Name)
+		if refused := d.tracker.ConnectRefused(d.now(), server.Name); event.Crashed == nil {
+			event = refused
 		}
 	}
 	d.handle(event)
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -145,6 +145,48 @@
 	is.Equal(event.Recovered, &server)
 }
 
+// Guards against taking a successor at the address of a crashed server, which no list names yet,
+// for the server itself: it refuses requests that are meant for the other.
+func TestRefusalOfASuccessorRetractsNothing(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	server := Server{Name: "a", Service: simService}
+	tracker.AttemptStarted(start, 1, server, poison)
+	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	is.True(tracker.ConnectRefused(start, "a").Crashed != nil)
+	now := start.Add(3 * time.Second)
+	tracker.AttemptStarted(now, 2, server, 7)
+	is.Equal(tracker.AttemptEnded(now, 2, result.OutcomeRefused, backend.FaultDraining, 0), Event{})
+}
+
+// Guards against missing a crash whose server is back before its port is tried.
+func TestRefusalOfASuccessorProvesACrash(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	server := Server{Name: "a", Service: simService}
+	tracker.AttemptStarted(start, 1, server, poison)
+	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	now := start.Add(3 * time.Second)
+	tracker.AttemptStarted(now, 2, server, 7)
+	event := tracker.AttemptEnded(now, 2, result.OutcomeRefused, backend.FaultDraining, 0)
+	is.True(event.Crashed != nil)
+	is.Equal(event.Crashed.Suspects[0].Fingerprint, poison)
+}
+
+// Guards against taking a server that has started again under its name, which no list says yet,
+// for the process that crashed: its replies don't tell them apart.
+func TestAnswerAfterARestartUnderTheSameNameRetractsNothing(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	server := Server{Name: "a", Service: simService, Incarnation: 1}
+	tracker.AttemptStarted(start, 1, server, poison)
+	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	is.True(tracker.ConnectRefused(start, "a").Crashed != nil)
+	now := start.Add(3 * time.Second)
+	tracker.AttemptStarted(now, 2, server, 7)
+	is.Equal(tracker.AttemptEnded(now, 2, result.OutcomeRan, backend.FaultNone, 0), Event{})
+}
+
 // Guards against losing the suspect when an answer from before a break clears
 // that break.
 func TestAnswerSentBeforeBreakDoesNotClearIt(t *testing.T) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -71,6 +71,8 @@
 	broken    []*attempt // their connection broke; whether the server crashed is open
 	crashed   bool
 	crashedAt time.Time // of the last crash
+	// portClosed is set if nothing listened at the server's address after the crash.
+	portClosed bool
 }
 
 type attempt struct {
@@ -114,6 +116,9 @@
 	a.endedAt = now
 	on := a.on
 	switch {
+	case outcome == result.OutcomeRefused && fault == backend.FaultDraining && incarnation == 0:
+		// Either the server is leaving, or another process has taken its address.
+		return on.handleUnreachable(now)
 	case outcome == result.OutcomeRan || outcome == result.OutcomeRefused:
 		return on.handleReply(now, a, incarnation)
 	case fault == backend.FaultConnectionLost:
@@ -179,9 +184,14 @@
 }
 
 // handleReply retracts a presumed crash if the attempt was sent after it. Answers to
-// earlier attempts may have been sent before the crash.
+// earlier attempts may have been sent before the crash. After the port was closed, a server that
+// keeps its name when it starts again may have been restarted, unless the reply names its
+// incarnation.
 func (s *trackedServer) handleReply(now time.Time, a *attempt, incarnation uint64) Event {
-	if incarnation != 0 && incarnation != s.server.Incarnation {
+	switch {
+	case incarnation == 0 && s.server.Incarnation != 0 && s.portClosed:
+		return Event{}
+	case incarnation != 0 && incarnation != s.server.Incarnation:
 		return s.handleIncarnation(now, incarnation)
 	}
 	// The same incarnation answers, so the breaks before the attempt were no crash.
@@ -189,7 +199,7 @@
 	if !s.crashed || s.crashedAt.After(a.startedAt) {
 		return Event{}
 	}
-	s.crashed = false
+	s.crashed, s.portClosed = false, false
 	server := s.server
 	return Event{Recovered: &server}
 }
@@ -216,7 +226,9 @@
 	if len(s.broken) == 0 {
 		return Event{}
 	}
-	return s.markCrashed(now)
+	event := s.markCrashed(now)
+	s.portClosed = true
+	return event
 }
 
 // handleIncarnation reports a crash if the server has been restarted.
@@ -226,7 +238,7 @@
 	}
 	event := s.markCrashed(now)
 	s.server.Incarnation = incarnation
-	s.crashed = false
+	s.crashed, s.portClosed = false, false
 	s.lingering = nil
 	s.broken = nil
 	return event
