--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -49,7 +49,7 @@
 }
 
 // Guards against a request that reaches servers long after it has crashed three of them,
-// whichever host gets it.
+// whichever host gets it, and against canaries of it on several hosts at once.
 func TestFleetHoldsBackRequestThatCrashesServers(t *testing.T) {
 	for name, c := range poisonCases() {
 		t.Run(name, func(t *testing.T) {
@@ -71,6 +71,11 @@
 				t.Errorf("seed %d: %d late attempts, %d crashes", seed, s.late[f], len(s.crashes[f]))
 			}
 		}
+		for f, canaries := range s.mostCanaries {
+			if canaries > 1 {
+				t.Errorf("seed %d: %d canaries of request %s at once", seed, canaries, f)
+			}
+		}
 		for f := range s.refused {
 			if s.innocents[f] {
 				t.Errorf("seed %d: innocent request %s is quarantined", seed, f)
