--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -393,14 +393,15 @@
 }
 
 // isExplained reports whether the crash of a canary's server has another likely cause than the
-// request: another request that crashed servers of its own ran there too, or many servers
-// crashed at the time that ran no canary. The crash of a canary's server is that canary's, so
-// a request that merely ran beside canaries has no crash of its own.
+// request: another request ran there too that was a canary or crashed servers of its own at the
+// time, or many servers crashed at the time that ran no canary. The crash of a canary's server
+// is that canary's, so a request that merely ran beside canaries has no crash of its own.
 func (s *Suspects) isExplained(now time.Time, f Fingerprint, p *suspect, crash timedReport) bool {
 	byCanary := s.canaryCrashes()
-	others := 0 // that crashed at the time
+	atTheTime := func(at time.Time) bool { return at.Sub(crash.at).Abs() <= massCrashWindow }
+	others := 0
 	for _, c := range s.crashes {
-		if c.instance != crash.instance() && !byCanary[c.instance] && c.at.Sub(crash.at).Abs() <= massCrashWindow {
+		if c.instance != crash.instance() && !byCanary[c.instance] && atTheTime(c.at) {
 			others++
 		}
 	}
@@ -414,7 +415,7 @@
 			switch {
 			case t.instance() == crash.instance():
 				beside, canary = true, t.Canary
-			case !byCanary[t.instance()] && !p.has(t.Server, t.Incarnation):
+			case !byCanary[t.instance()] && !p.has(t.Server, t.Incarnation) && atTheTime(t.at):
 				own = true
 			}
 		}
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -142,6 +142,21 @@
 	is.Equal(codeOf(s.decideAndAdmit(now.Add(longestBackoff+time.Second), poison)), result.Quarantined)
 }
 
+// Guards against a request without a verdict because another one, in flight at an earlier crash,
+// may still run on the canary's server.
+func TestEarlierCrashesOfABystanderDoNotExplainACanary(t *testing.T) {
+	is := is.New(t)
+	s := newTestSuspects()
+	s.crashUnder(start, 3, poison)
+	now := start.Add(longestBackoff)
+	s.RecordCrash(now.Add(-massCrashWindow), crashOf("earlier", 1, now.Add(-massCrashWindow), 1))
+	is.True(s.Admit(now, poison).Canary)
+	s.RecordCrash(now.Add(20*time.Millisecond), crashOf("canary", 1, now, poison, 1))
+	is.True(s.IsSuspect(now.Add(time.Second), 1))
+	s.EndCanary(poison)
+	is.Equal(codeOf(s.decideAndAdmit(now.Add(longestBackoff+time.Second), poison)), result.Quarantined)
+}
+
 // Guards against a verdict on a suspect whose canary ran on a server that another request crashed
 // among its first.
 func TestCanaryBesideFirstCrashesOfAnotherRequestIsNoProof(t *testing.T) {
