--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -184,7 +184,7 @@
 		d.log.Warn("servers crashed under a request", zap.Stringer("fingerprint", report.Fingerprint), zap.String("server", report.Server), zap.Bool("canary", report.Canary))
 		d.announce(member.SuspectRequestUpdate{
 			Fingerprint: uint64(report.Fingerprint), Server: report.Server, ServerIncarnation: report.Incarnation,
-			InFlight: len(crash.Suspects), Canary: report.Canary,
+			InFlight: len(crash.Suspects), Canary: report.Canary, Age: report.Age,
 		})
 	}
 }
@@ -192,9 +192,12 @@
 // merge records a report of another host.
 func (d *crashDetector) merge(update member.SuspectRequestUpdate) {
 	d.log.Info("another host reports a crash under a request", zap.Stringer("fingerprint", quarantine.Fingerprint(update.Fingerprint)), zap.String("server", update.Server), zap.Bool("canary", update.Canary))
-	d.suspects.Merge(d.now(), quarantine.Report{
-		Fingerprint: quarantine.Fingerprint(update.Fingerprint), Server: update.Server,
-		Incarnation: update.ServerIncarnation, Canary: update.Canary,
+	d.suspects.Merge(d.now(), quarantine.PastReport{
+		Report: quarantine.Report{
+			Fingerprint: quarantine.Fingerprint(update.Fingerprint), Server: update.Server,
+			Incarnation: update.ServerIncarnation, Canary: update.Canary,
+		},
+		Age: update.Age,
 	})
 }
 
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -76,6 +76,8 @@
 	InFlight          int // requests in flight at the server, this one included
 	// Canary is set if the request was a suspect before and ran on this server alone.
 	Canary bool
+	// Age is how long ago the server had crashed when this was announced.
+	Age time.Duration
 }
 
 // ReceivedUpdates holds received updates for users of this package.
@@ -138,6 +140,7 @@
 		ServerIncarnation: update.ServerIncarnation,
 		InFlight:          uint32(update.InFlight),
 		Canary:            update.Canary,
+		AgeMs:             uint32(update.Age.Milliseconds()),
 	})
 }
 
@@ -327,6 +330,7 @@
 		ServerIncarnation: update.ServerIncarnation,
 		InFlight:          int(update.InFlight),
 		Canary:            update.Canary,
+		Age:               time.Duration(update.AgeMs) * time.Millisecond,
 	}
 }
 
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -201,7 +201,7 @@
 
 // RecordCrash records a crash that this host has seen. It returns the reports on suspects
 // that the other hosts do not know yet.
-func (s *Suspects) RecordCrash(now time.Time, crash Crash) (announce []Report) {
+func (s *Suspects) RecordCrash(now time.Time, crash Crash) (announce []PastReport) {
 	s.registry.mu.Lock()
 	defer s.registry.mu.Unlock()
 	s.addCrash(now, instance{crash.Name, crash.Incarnation})
@@ -234,8 +234,8 @@
 }
 
 // Merge records a report of another host.
-func (s *Suspects) Merge(now time.Time, report Report) {
-	s.mergePast(now, report.Fingerprint, []PastReport{{Report: report}})
+func (s *Suspects) Merge(now time.Time, report PastReport) {
+	s.mergePast(now, report.Fingerprint, []PastReport{report})
 }
 
 // mergePast records the reports of another host on one request. Those from before its last
@@ -341,7 +341,7 @@
 	}
 	p.expire(now)
 	if i := slices.IndexFunc(p.reports, func(t timedReport) bool { return t.instance() == report.instance() }); i >= 0 {
-		if report.at.Before(p.reports[i].at) { // gossip does not tell the age
+		if report.at.Before(p.reports[i].at) { // gossip takes a while
 			p.reports[i].at = report.at
 		}
 		return false
@@ -359,7 +359,7 @@
 
 // takeUnannounced returns the reports that the other hosts need in order to treat the
 // request as a suspect: enough servers, and each canary.
-func (s *Suspects) takeUnannounced(now time.Time, f Fingerprint) (reports []Report) {
+func (s *Suspects) takeUnannounced(now time.Time, f Fingerprint) (reports []PastReport) {
 	p, ok := s.suspects.Peek(f)
 	if !ok || !p.isSuspect(now) {
 		return nil
@@ -369,7 +369,7 @@
 		t := &p.reports[i]
 		if !t.announced && (t.Canary || known < verdictServers) {
 			t.announced = true
-			reports = append(reports, t.Report)
+			reports = append(reports, PastReport{Report: t.Report, Age: now.Sub(t.at)})
 		}
 		if t.announced {
 			known++
