--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -14,10 +14,14 @@
 
 const (
 	// hedgeShare and retryShare are the shares of the extra-attempt budget for the hedges and
-	// retries of the carriers. standbyShare is the share of the slack for all other hosts.
-	hedgeShare   = 0.56
-	retryShare   = 0.25
-	standbyShare = 1 - hedgeShare - retryShare
+	// retries of the carriers.
+	hedgeShare = 0.56
+	retryShare = 0.25
+	// replacementShare is the share of the slack for a host that becomes a carrier in place of
+	// one that was lost: its part refills in the window in which that one has spent its own.
+	replacementShare = slackRefillShare * (hedgeShare + retryShare) / minBudgetHosts
+	// standbyShare is the share of the slack for all other hosts.
+	standbyShare = 1 - hedgeShare - retryShare - replacementShare
 	// hedgeInitialFill and retryInitialFill are how full the token buckets are at start: a
 	// fleet that restarts can hedge its first searches, and what the previous processes have
 	// spent in the same window still fits the operator's bound.
