--- a/quarantine/leases.go
+++ b/quarantine/leases.go
@@ -57,6 +57,18 @@
 	Evidence []PastReport
 }
 
+// CanaryEnd tells how a canary has ended.
+type CanaryEnd uint8
+
+const (
+	// CanaryUnsent: the request ran nowhere.
+	CanaryUnsent CanaryEnd = iota
+	// CanaryAnswered: a server has answered it.
+	CanaryAnswered
+	// CanaryLost: it may have run, and has no answer.
+	CanaryLost
+)
+
 // Leases grants the canaries of the fleet. One host, the coordinator, has them; all hosts ask
 // it before they run a canary. So one canary of a request runs at a time, however many hosts
 // have a copy of it, and a server that crashes under a canary ran no other one.
@@ -152,18 +164,6 @@
 	return false
 }
 
-// CanaryEnd tells how a canary has ended.
-type CanaryEnd uint8
-
-const (
-	// CanaryUnsent: the request ran nowhere.
-	CanaryUnsent CanaryEnd = iota
-	// CanaryAnswered: a server has answered it.
-	CanaryAnswered
-	// CanaryLost: it may have run, and has no answer.
-	CanaryLost
-)
-
 // Release ends a host's lease. An answer clears the request. After a lost canary the next one
 // waits until other hosts can have reported a crash under it.
 func (l *Leases) Release(now time.Time, f Fingerprint, host string, end CanaryEnd, findings Findings) {
