--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -145,14 +145,20 @@
 	is.Equal(event.Recovered, &server)
 }
 
+// newBrokenTracker returns a tracker that has seen the connection of an attempt break.
+func newBrokenTracker(server Server) *Tracker {
+	tracker := NewTracker()
+	tracker.AttemptStarted(start, 1, server, poison)
+	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	return tracker
+}
+
 // Guards against taking a successor at the address of a crashed server, which no list names yet,
 // for the server itself: it refuses requests that are meant for the other.
 func TestRefusalOfASuccessorRetractsNothing(t *testing.T) {
 	is := is.New(t)
-	tracker := NewTracker()
 	server := Server{Name: "a", Service: simService}
-	tracker.AttemptStarted(start, 1, server, poison)
-	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	tracker := newBrokenTracker(server)
 	is.True(tracker.ConnectRefused(start, "a").Crashed != nil)
 	now := start.Add(3 * time.Second)
 	tracker.AttemptStarted(now, 2, server, 7)
@@ -162,10 +168,8 @@
 // Guards against missing a crash whose server is back before its port is tried.
 func TestRefusalOfASuccessorProvesACrash(t *testing.T) {
 	is := is.New(t)
-	tracker := NewTracker()
 	server := Server{Name: "a", Service: simService}
-	tracker.AttemptStarted(start, 1, server, poison)
-	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	tracker := newBrokenTracker(server)
 	now := start.Add(3 * time.Second)
 	tracker.AttemptStarted(now, 2, server, 7)
 	event := tracker.AttemptEnded(now, 2, result.OutcomeRefused, backend.FaultDraining, 0)
@@ -177,10 +181,8 @@
 // for the process that crashed: its replies don't tell them apart.
 func TestAnswerAfterARestartUnderTheSameNameRetractsNothing(t *testing.T) {
 	is := is.New(t)
-	tracker := NewTracker()
 	server := Server{Name: "a", Service: simService, Incarnation: 1}
-	tracker.AttemptStarted(start, 1, server, poison)
-	tracker.AttemptEnded(start, 1, result.OutcomeUnknown, backend.FaultConnectionLost, 0)
+	tracker := newBrokenTracker(server)
 	is.True(tracker.ConnectRefused(start, "a").Crashed != nil)
 	now := start.Add(3 * time.Second)
 	tracker.AttemptStarted(now, 2, server, 7)
