--- a/member/start_test.go
+++ b/member/start_test.go
@@ -41,3 +41,24 @@
 	t.Logf("all views complete after %v", took)
 	is.True(took <= 1300*time.Millisecond)
 }
+
+// Guards against a host that never hears of requests that crash servers, because it joins through
+// hosts that have just started too: it would send such a request to all shards.
+func TestHostThatJoinsThroughNewHostsLearnsOfSuspects(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= 20; seed++ {
+		s := newSimulation(seed)
+		s.addHosts(8, 1, 3)
+		s.hosts[3].AnnounceSuspectRequest(s.now, SuspectRequestUpdate{Fingerprint: 7, Server: "a"})
+		s.run(time.Minute)
+		is.True(s.all(func(h *simHost) bool { return len(h.seenRequests.entries) == 1 }))
+		for _, i := range []int{0, 4, 7} { // the seeds, and one host more
+			old := s.hosts[i]
+			s.start(string(old.self.ID), old.region, old.zone)
+		}
+		_, ok := s.runUntil(10*time.Second, func() bool {
+			return s.all(func(h *simHost) bool { return len(h.seenRequests.entries) == 1 })
+		})
+		is.True(ok)
+	}
+}
