--- a/exchange/direct.go
+++ b/exchange/direct.go
@@ -82,6 +82,9 @@
 	for _, name := range slices.Sorted(maps.Keys(f.Header)) {
 		head.Headers = append(head.Headers, &exchangepb.Header{Name: name, Values: f.Header[name]})
 	}
+	if f.Customer != "" {
+		head.Customer, head.Credential = f.Customer, f.Credential[:]
+	}
 	if r.DirectServer == "" {
 		head.Share = encodeShare(r, now)
 	}
@@ -91,8 +94,10 @@
 func decodeHead(m *exchangepb.Head) *forward.Request {
 	f := &forward.Request{
 		Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), AttemptID: m.GetAttempt(), Regions: m.GetRegions(),
-		Header: make(map[string][]string, len(m.GetHeaders())),
+		Header:   make(map[string][]string, len(m.GetHeaders())),
+		Customer: m.GetCustomer(),
 	}
+	copy(f.Credential[:], m.GetCredential())
 	for _, h := range m.GetHeaders() {
 		f.Header[h.GetName()] = h.GetValues()
 	}
--- a/exchange/shared.go
+++ b/exchange/shared.go
@@ -40,6 +40,7 @@
 		Idempotent: true,
 		MaxServers: int(m.GetMaxServers()),
 		Forward:    head,
+		Caller:     head.Customer,
 	}
 	if m.GetDueInNs() != 0 {
 		r.SoftDeadline = now.Add(time.Duration(m.GetDueInNs()))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,8 @@
 	"math"
 	"net/http"
 	"strings"
+
+	"github.com/goldcrestspan/goldcrestspan/customer"
 )
 
 // Request is a caller's request as it is sent to a backend server.
@@ -24,6 +26,10 @@
 	// Regions restricts the backend servers that may run the request, and the hosts that may see it
 	// apart from the one that the caller chose; empty for no restriction.
 	Regions []string
+	// Customer is the name of the customer that sent the request; empty if none is identified.
+	Customer string
+	// Credential is the hash of the customer's key; zero if none is identified.
+	Credential customer.Credential
 }
 
 // Merge describes how the answers of several services are merged.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// EvacuationsPrefix is the store prefix of evacuated zones; empty if zones are never
 	// evacuated.
 	EvacuationsPrefix string
+	// Customers configures the identification and the limits of customers.
+	Customers CustomerOptions
 	// Warmup is how far the load on cold servers may exceed their service's warm-up rate.
 	Warmup eligible.WarmupTolerance
 	ReloadableOptions
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -35,6 +35,8 @@
 	Timeout time.Duration
 	// Connection is the connection that the request came on; nil if nothing is known of it.
 	Connection *Connection
+	// Authorization holds the values of the request's authorization header.
+	Authorization []string
 	// Path is the path without the query string.
 	Path    string
 	Forward *forward.Request
@@ -80,7 +82,19 @@
 		g.logRefusal(q, c, answer)
 		return answer
 	}
-	return g.run(ctx, c, r, service, q)
+	who, refusal := g.identify(c, r, &q)
+	if refusal != nil {
+		g.logRefusal(q, c, refusal)
+		return refusal
+	}
+	permit, refusal := g.takeQuota(who)
+	if refusal != nil {
+		g.logRefusal(q, c, refusal)
+		return refusal
+	}
+	answer := g.run(ctx, c, r, service, q)
+	g.settleQuota(permit, answer)
+	return answer
 }
 
 // ReserveBody reserves memory for a request's body before it is read; release frees it. Many
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 )
 
@@ -18,6 +19,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers are the customers whose keys requests need; empty: requests need no key.
+	Customers []customer.Account
 }
 
 // Limits bound what a caller may send on a connection. Zero: not stated.
@@ -66,6 +69,8 @@
 	MinCoverage float64
 	// Regions are the regions whose backend servers may run requests; empty: any.
 	Regions []string
+	// Public requests need no key.
+	Public bool
 }
 
 // WeightedService is one service of a plain route and its relative weight.
