--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -199,6 +199,7 @@
 		Plan:       plan,
 		Index:      r.Name,
 		Class:      class,
+		Caller:     q.Forward.Customer,
 		Body:       q.Body,
 		MaxServers: r.MaxServers,
 		Forward:    q.Forward,
