--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -47,7 +47,7 @@
 	Canary func(service string) CanaryPermit
 }
 
-// Coordinator runs queries. It holds no state between them.
+// Coordinator runs queries. Between them it keeps only how many waited for stragglers.
 type Coordinator struct {
 	// LostLegGrace is how long the open legs of a query continue after it failed
 	// because it may have crashed servers; 0: they are cancelled at once. It lets
@@ -59,12 +59,14 @@
 	counter Counter
 	now     func() time.Time
 	onHeld  func(service, index string, held []snapshot.Version)
+
+	stragglers *stragglers
 }
 
 // NewCoordinator makes a coordinator. onHeld is called with the snapshots that a
 // service's backend servers report to hold.
 func NewCoordinator(homes Homes, counter Counter, now func() time.Time, onHeld func(service, index string, held []snapshot.Version)) *Coordinator {
-	return &Coordinator{homes: homes, counter: counter, now: now, onHeld: onHeld}
+	return &Coordinator{homes: homes, counter: counter, now: now, onHeld: onHeld, stragglers: newStragglers()}
 }
 
 // run is one running query with its legs.
@@ -114,6 +116,7 @@
 	if r.spec.Started.IsZero() {
 		r.spec.Started = r.started
 	}
+	r.spec.StragglerShare = c.stragglers.share(spec.Class)
 	r.query = NewQuery(r.spec.Plan)
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
@@ -139,9 +142,19 @@
 		r.cancelOpen()
 	}
 	answer.Legs = r.legTimings()
+	r.recordStragglers(answer)
 	return answer
 }
 
+// recordStragglers records whether the query waited for shards until its soft cut-off. A
+// query that was refused or ended by its caller says nothing.
+func (r *run) recordStragglers(answer *Answer) {
+	if r.spec.SoftDeadline.IsZero() || !r.isMultiShard() || len(answer.Parts) == 0 {
+		return
+	}
+	r.c.stragglers.record(r.spec.Class, r.query.pastSoftCutOff)
+}
+
 // mayHaveCrashedServers reports whether the query has no part of an answer, and
 // legs that were lost or refused as suspects of a crash.
 func mayHaveCrashedServers(answer *Answer) bool {
--- a/scatter/cutoff.go
+++ b/scatter/cutoff.go
@@ -34,6 +34,10 @@
 	// time to the soft deadline.
 	writeReserve      = 3 * time.Millisecond
 	writeReserveShare = 0.03
+	// stragglerReserveShare is added to writeReserveShare while every query waits for
+	// stragglers until its soft cut-off. Queues on the way to the caller are then as long
+	// as those to the servers, and they would make all answers late at once.
+	stragglerReserveShare = 0.12
 	// maxReserveShare bounds the whole reserve, as a part of the time to the
 	// soft deadline.
 	maxReserveShare = 0.3
@@ -42,14 +46,17 @@
 // SoftCutOff is when a query that has its minimum coverage answers, so that the
 // answer reaches the caller by the soft deadline: one straggler among many shards
 // must not delay the whole answer past it. The reserve covers writing the answer
-// and the network round trip, which counts on the caller's clock.
+// and the network round trip, which counts on the caller's clock. It is larger under load,
+// when most queries wait for stragglers: an answer with fewer shards in time is then worth
+// more than a late one, while on a calm day the last shards are worth waiting for.
 func SoftCutOff(plan Plan) time.Time {
 	rtt := plan.CallerRTT
 	if rtt == 0 {
 		rtt = defaultCallerRTT
 	}
 	total := float64(plan.SoftDeadline.Sub(plan.Started))
-	reserve := rtt + writeReserve + time.Duration(writeReserveShare*total)
+	share := writeReserveShare + plan.StragglerShare*stragglerReserveShare
+	reserve := rtt + writeReserve + time.Duration(share*total)
 	return plan.SoftDeadline.Add(-min(reserve, time.Duration(maxReserveShare*total)))
 }
 
--- a/scatter/cutoff_test.go
+++ b/scatter/cutoff_test.go
@@ -98,3 +98,23 @@
 	short := Plan{Started: startedAt, SoftDeadline: startedAt.Add(20 * time.Millisecond), CallerRTT: 40 * time.Millisecond}
 	is.True(SoftCutOff(short).After(startedAt.Add(10 * time.Millisecond))) // time is left for the work
 }
+
+// Guards against a burst in which queues on the way to the callers make the answers of all
+// queries late at once, since each waits for its last shards until the last moment.
+func TestStragglersOfMostQueriesMoveTheSoftCutOffEarlier(t *testing.T) {
+	is := is.New(t)
+	plan := queryWithSoftDeadline(0.75).plan
+	calm := SoftCutOff(plan)
+	tracker := newStragglers()
+	for range 40 { // a tenth of a second of a burst
+		tracker.record("urgent", true)
+	}
+	plan.StragglerShare = tracker.share("urgent")
+	is.True(calm.Sub(SoftCutOff(plan)) >= 10*time.Millisecond) // of 100 ms
+	for range 100 {
+		tracker.record("urgent", false)
+	}
+	plan.StragglerShare = tracker.share("urgent")
+	is.True(calm.Sub(SoftCutOff(plan)) < time.Millisecond) // the last shards are waited for again
+	is.Equal(tracker.share("other"), 0.0)
+}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -43,6 +43,9 @@
 	SoftDeadline time.Time
 	// CallerRTT is the round trip between the caller and this host; 0: not known.
 	CallerRTT time.Duration
+	// StragglerShare is the share of recent queries, 0 to 1, that still waited for shards at
+	// their soft cut-off; see SoftCutOff.
+	StragglerShare float64
 	// MinCoverage is the share of shards, 0 to 1, below which there is no answer.
 	MinCoverage float64
 	Prefer      bundle.PartialStrategy
