--- a/backend/backend.go
+++ b/backend/backend.go
@@ -82,12 +82,13 @@
 	FaultServerError            // the server reported a failure: ran
 	FaultPeerLost               // the peer that forwarded the call was lost: unknown
 	FaultNotAllowed             // the eligibility rules exclude the server: unsent
+	FaultKeyRefused             // the customer's key may not be used any more: unsent
 )
 
 // faultNames are the names in logs; they are stable and may differ from the constants'.
 var faultNames = [...]string{
 	"none", "unreachable", "connection_limit", "shed", "draining", "snapshot_not_held", "deadline", "cancelled",
-	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server", "peer_lost", "not_allowed",
+	"silent", "broken", "half_reply", "crossed", "snapshot_mismatch", "server", "peer_lost", "not_allowed", "key_refused",
 }
 
 // String returns the fault's name as it appears in logs.
--- a/eligible/eligible.go
+++ b/eligible/eligible.go
@@ -22,11 +22,15 @@
 	Cold
 	// RequestHeldBack: servers crashed under the request.
 	RequestHeldBack
+	// KeyRemoved: the key of the request's customer was removed.
+	KeyRemoved
+	// KeysOutdated: the key may have been removed without this host knowing.
+	KeysOutdated
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold", "request_held_back"}[r]
+	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold", "request_held_back", "key_removed", "keys_outdated"}[r]
 }
 
 // Rules are the rules for all servers at one moment. They are immutable.
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -228,7 +228,11 @@
 func (g *Gateway) applyConfigs(objects []metastore.Object, _ metastore.Revision) {
 	for _, object := range objects {
 		if object.Key == g.options.ConfigKey {
-			g.post(func() { g.applyConfig(object, "store") })
+			g.configNews.pending.Add(1)
+			g.post(func() {
+				defer g.configNews.pending.Add(-1)
+				g.applyConfig(object, "store")
+			})
 		}
 	}
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/route"
@@ -44,12 +49,22 @@
 	largestSplit  int                           // services of the largest split search
 	// warmups holds the services whose servers get limited load while they are cold.
 	warmups map[string]eligible.Warmup
+	// customers is nil if the configuration lists none.
+	customers *customer.Directory
+	// keys holds the keys of customers, and those that earlier versions have held; nil if no
+	// version had any.
+	keys *customer.Directory
 }
 
-func newConfiguration(revision metastore.Revision, config *route.Config) (*configuration, error) {
+// newConfiguration compiles a configuration that follows the previous one, if any.
+func newConfiguration(revision metastore.Revision, config *route.Config, previous *configuration) (*configuration, error) {
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
+	keys, err := newDirectory(config, previous)
+	if err != nil {
+		return nil, err
+	}
 	compiled, err := bundle.Compile(config.Version, bundleDocuments(config))
 	if err != nil {
 		return nil, err
@@ -63,15 +78,22 @@
 		targets:       make(map[string]time.Duration),
 		isSplit:       make(map[string]bool),
 		warmups:       make(map[string]eligible.Warmup),
+		keys:          keys,
+	}
+	if len(config.Customers) > 0 {
+		c.customers = keys
 	}
 	for _, service := range config.Services {
 		if service.Warmup.Bounded() {
 			c.warmups[service.Name] = service.Warmup
 		}
 	}
+	priorities := customerPriorities(config)
 	for i := range config.Routes {
 		r := &config.Routes[i]
-		c.targets[className(r)] = r.TargetLatency
+		for _, priority := range append([]int{r.Priority}, priorities...) {
+			c.targets[className(priority, r.TargetLatency)] = r.TargetLatency
+		}
 		if r.IsFanout() {
 			c.shards[r] = newSnapshot(config.Version, r.Shards)
 			c.addSplit(r)
@@ -106,11 +128,14 @@
 func bundleDocuments(config *route.Config) bundle.Documents {
 	var docs bundle.Documents
 	seen := make(map[string]bool)
+	priorities := customerPriorities(config)
 	for i := range config.Routes {
 		r := &config.Routes[i]
-		if name := className(r); !seen[name] {
-			seen[name] = true
-			docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs})
+		for _, priority := range append([]int{r.Priority}, priorities...) {
+			if name := className(priority, r.TargetLatency); !seen[name] {
+				seen[name] = true
+				docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs})
+			}
 		}
 	}
 	for _, service := range config.Services {
@@ -122,8 +147,44 @@
 	return docs
 }
 
-// className groups routes by priority and target, so that hundreds of routes share a few
+// newDirectory returns the directory of the configuration's customers; nil if neither it nor an
+// earlier version has any.
+func newDirectory(config *route.Config, previous *configuration) (*customer.Directory, error) {
+	var before *customer.Directory
+	if previous != nil {
+		before = previous.keys
+	}
+	if len(config.Customers) == 0 && before == nil {
+		return nil, nil
+	}
+	keys, err := customer.NewDirectory(config.Customers, before)
+	return keys, errors.Wrapf(err, "configuration %d", config.Version)
+}
+
+// customerPriorities returns the different priorities of customers in ascending order.
+// Requests on a route have one of them or the route's.
+func customerPriorities(config *route.Config) []int {
+	seen := make(map[int]bool)
+	for i := range config.Customers {
+		if p := config.Customers[i].Priority; p != nil {
+			seen[*p] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// classOf returns the class of a customer's requests on a route; the customer may be nil. The
+// customer's priority takes precedence over that of the route.
+func classOf(r *route.Route, who *customer.Customer) string {
+	priority := r.Priority
+	if who != nil && who.Priority != nil {
+		priority = *who.Priority
+	}
+	return className(priority, r.TargetLatency)
+}
+
+// className groups requests by priority and target, so that hundreds of routes share a few
 // classes. The timeout is left out: a change of it must not reset the latency statistics.
-func className(r *route.Route) string {
-	return fmt.Sprintf("p%d-%v", r.Priority, r.TargetLatency)
+func className(priority int, target time.Duration) string {
+	return fmt.Sprintf("p%d-%v", priority, target)
 }
--- a/gateway/crash_detector.go
+++ b/gateway/crash_detector.go
@@ -153,7 +153,8 @@
 		d.suspects.RecordAnswer(d.now(), f)
 		return false
 	}
-	return d.suspects.IsSuspect(d.now(), f)
+	// A request whose key is refused may not go to any other server either.
+	return end.Fault == backend.FaultKeyRefused || d.suspects.IsSuspect(d.now(), f)
 }
 
 // refusesConnections reports whether nothing listens at the address. A host that doesn't
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -1,15 +1,27 @@
 package gateway
 
 import (
+	"errors"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/backend"
 	"github.com/goldcrestspan/goldcrestspan/customer"
+	"github.com/goldcrestspan/goldcrestspan/eligible"
+	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
 // CustomerOptions configures the identification and the limits of customers. It has no effect
 // while the configuration lists no customers.
 type CustomerOptions struct {
+	// Headers are the names of the headers that identify customers on the wire. While the
+	// configuration lists customers, the headers that a caller sent are not passed on.
+	Headers []string
 	// StrictRevocation makes a host that may not have heard of a removed key refuse requests
 	// that need one.
 	StrictRevocation bool
@@ -24,7 +36,176 @@
 	LimitOvershoot, LimitSlack float64
 }
 
-// identify finds the customer that sent the request; nil if the request needs none.
+// identify finds the customer that sent the request; nil if the request needs none. It removes
+// the headers that identify the customer to this host, so that they are not passed on.
 func (g *Gateway) identify(c *configuration, r *route.Route, q *Query) (*customer.Customer, *Answer) {
-	return nil, nil
+	if c.customers == nil {
+		return nil, nil
+	}
+	for _, name := range g.options.Customers.Headers {
+		q.Forward.Header.Del(name)
+	}
+	who, credential, err := c.customers.Identify(q.Authorization)
+	q.Authorization = nil
+	known := err == nil && !g.keysOutdated(c)
+	switch {
+	case r.Public && known:
+		q.Forward.Customer = who.Name // without its key, which the request does not depend on
+		return who, nil
+	case r.Public:
+		return nil, nil
+	case known:
+		q.Forward.Customer, q.Forward.Credential = who.Name, credential
+		return who, nil
+	default:
+		return nil, g.refuseKey(c, err)
+	}
+}
+
+// refuseKey refuses a request on account of its key; no error means that the key is known, but
+// may have been removed.
+func (g *Gateway) refuseKey(c *configuration, err error) *Answer {
+	switch {
+	case err == nil:
+		return newRefusal(result.CutOff, keysOutdatedDetail, otherHostRetryAfter)
+	case errors.Is(err, customer.ErrUnknownKey) && !g.configConfirmed(c):
+		return newRefusal(result.NotReady, "the key is unknown here, and this host's configuration may be out of date", otherHostRetryAfter)
+	default:
+		return newRefusal(result.Unauthorized, err.Error(), 0)
+	}
+}
+
+const (
+	keysOutdatedDetail = "removed keys may not be known here: neither the store nor a peer is heard"
+	keyRemovedDetail   = "the key was removed while the request waited"
+)
+
+// configConfirmed reports whether the store or a peer has confirmed the configuration recently
+// enough for its keys to be complete.
+func (g *Gateway) configConfirmed(c *configuration) bool {
+	return g.configNews.confirmed(g.options.Now(), c.version(), g.configContact(), g.options.Customers.ConfigTimeout)
+}
+
+// keysOutdated reports whether keys must be refused because removals may not be known here.
+func (g *Gateway) keysOutdated(c *configuration) bool {
+	o := &g.options.Customers
+	return o.StrictRevocation && !g.configNews.heard(g.options.Now(), c.version(), g.configContact(), o.RevocationTimeout)
+}
+
+// configContact is when the store last answered about the configuration, or a peer last answered
+// this host; zero: never.
+func (g *Gateway) configContact() time.Time {
+	at := g.configs.LastContact()
+	if peer := g.members.LastPeerContact(); peer.After(at) {
+		return peer
+	}
+	return at
+}
+
+// configNews is what this host knows of configuration versions that are not in force here. Each
+// answer of a peer comes with the version that the peer has, which is recorded before the answer
+// counts as contact; a peer with an equal or older version thereby confirms this host's.
+type configNews struct {
+	newest  atomic.Uint64 // version announced by a peer
+	behind  atomic.Int64  // when newest came above the version in force, in Unix nanoseconds
+	pending atomic.Int64  // configurations that were received and not yet put in force
+}
+
+// announced records the version of a peer.
+func (n *configNews) announced(now time.Time, version, inForce uint64) {
+	if version <= max(n.newest.Load(), inForce) {
+		return
+	}
+	if n.newest.Load() <= inForce {
+		n.behind.Store(now.UnixNano())
+	}
+	n.newest.Store(version)
+}
+
+// isBehind reports whether a newer configuration than the given version exists.
+func (n *configNews) isBehind(version uint64) bool {
+	return n.newest.Load() > version || n.pending.Load() > 0
+}
+
+// confirmed reports whether the version was confirmed as the newest within the timeout.
+func (n *configNews) confirmed(now time.Time, version uint64, contact time.Time, timeout time.Duration) bool {
+	return !n.isBehind(version) && now.Sub(contact) <= timeout
+}
+
+// heard reports whether the version was the newest that this host knew of at some time within
+// the timeout, and it heard from the store or a peer within the timeout.
+func (n *configNews) heard(now time.Time, version uint64, contact time.Time, timeout time.Duration) bool {
+	if n.newest.Load() > version {
+		if since := time.Unix(0, n.behind.Load()); since.Before(contact) {
+			contact = since
+		}
+	}
+	return now.Sub(contact) <= timeout
+}
+
+// checkKey decides whether a request may still be sent: its customer's key may have been removed
+// since it was identified, here or at another host.
+func (g *Gateway) checkKey(f *forward.Request) eligible.Reason {
+	c := g.inForce.Load()
+	if c == nil || c.customers == nil || f.Credential.IsZero() {
+		return eligible.Allowed
+	}
+	switch {
+	case c.customers.WasRemoved(f.Credential):
+		return eligible.KeyRemoved
+	case g.keysOutdated(c):
+		return eligible.KeysOutdated
+	default:
+		return eligible.Allowed
+	}
+}
+
+// isKeyReason reports whether the reason concerns the request's key, so that no other server may
+// get the request either.
+func isKeyReason(reason eligible.Reason) bool {
+	return reason == eligible.KeyRemoved || reason == eligible.KeysOutdated
+}
+
+// withoutCallerHeaders removes the headers that identify customers from a request that arrived
+// before the configuration listed customers, here or at another host.
+func (g *Gateway) withoutCallerHeaders(call backend.Call) backend.Call {
+	c := g.inForce.Load()
+	if c == nil || c.customers == nil || call.Forward == nil {
+		return call
+	}
+	for _, name := range g.options.Customers.Headers {
+		if _, found := call.Forward.Header[name]; !found {
+			continue
+		}
+		clean := *call.Forward
+		clean.Header = clean.Header.Clone()
+		for _, name := range g.options.Customers.Headers {
+			clean.Header.Del(name)
+		}
+		call.Forward = &clean
+		break
+	}
+	return call
+}
+
+// explainKeyRefusal sets the code of a request that has not run if its key was removed meanwhile
+// or may have been.
+func (g *Gateway) explainKeyRefusal(f *forward.Request, answer *scatter.Answer) {
+	if !answer.Code.NotRun() {
+		return
+	}
+	switch g.checkKey(f) {
+	case eligible.KeyRemoved:
+		answer.Code, answer.Detail, answer.RetryAfter = result.Unauthorized, keyRemovedDetail, 0
+	case eligible.KeysOutdated:
+		answer.Code, answer.Detail, answer.RetryAfter = result.CutOff, keysOutdatedDetail, otherHostRetryAfter
+	}
+}
+
+// logIdentity returns the log fields that lead from a request to its customer.
+func logIdentity(f *forward.Request) zap.Field {
+	if f.Customer == "" {
+		return zap.Skip()
+	}
+	return zap.String("customer", f.Customer)
 }
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -15,17 +15,23 @@
 type eligibilityRunner struct {
 	runner backend.Runner
 	check  func(server backend.Server, call backend.Call) eligible.Reason
-	log    *zap.Logger
+	// clean removes what no backend server may get from the call.
+	clean func(call backend.Call) backend.Call
+	log   *zap.Logger
 }
 
 // Run implements backend.Runner.
 func (r eligibilityRunner) Run(ctx context.Context, server backend.Server, call backend.Call) backend.CallResult {
 	reason := r.check(server, call)
 	if reason == eligible.Allowed {
-		return r.runner.Run(ctx, server, call)
+		return r.runner.Run(ctx, server, r.clean(call))
 	}
-	r.log.Info("attempt was held back", zap.String("request", call.Forward.AttemptID), zap.String("server", server.Name), zap.String("zone", server.Zone), zap.Stringer("reason", reason))
-	return backend.CallResult{Outcome: result.OutcomeUnsent, Fault: backend.FaultNotAllowed}
+	r.log.Info("attempt was held back", logIdentity(call.Forward), zap.String("request", call.Forward.AttemptID), zap.String("server", server.Name), zap.String("zone", server.Zone), zap.Stringer("reason", reason))
+	fault := backend.FaultNotAllowed
+	if isKeyReason(reason) {
+		fault = backend.FaultKeyRefused
+	}
+	return backend.CallResult{Outcome: result.OutcomeUnsent, Fault: fault}
 }
 
 // checkOwn decides on attempts whose server a home on this host has chosen.
@@ -40,12 +46,15 @@
 
 // checkRequest decides whether the request may be sent to a server that is allowed to get it.
 func (g *Gateway) checkRequest(call backend.Call, server eligible.Reason) eligible.Reason {
-	if server == eligible.Allowed && !g.crashDetector.mayBeSent(call.Forward, call.Body) {
+	if server != eligible.Allowed {
+		return server
+	}
+	if !g.crashDetector.mayBeSent(call.Forward, call.Body) {
 		return eligible.RequestHeldBack
 	}
-	return server
+	return g.checkKey(call.Forward)
 }
 
 func (g *Gateway) withEligibility(runner backend.Runner, check func(backend.Server, backend.Call) eligible.Reason) backend.Runner {
-	return eligibilityRunner{runner: runner, check: check, log: g.log}
+	return eligibilityRunner{runner: runner, check: check, clean: g.withoutCallerHeaders, log: g.log}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,7 @@
 	budgetPlacement *placement
 	budgetBasis     budgetBasis
 	inForce         atomic.Pointer[configuration]
+	configNews      configNews
 	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
 	split           atomic.Pointer[splitServices]
@@ -288,7 +289,7 @@
 		g.log.Warn("older configuration is left out", zap.Uint64("version", config.Version), zap.Uint64("in_force", previous.version()), observe.Revision("revision", object.Revision))
 		return
 	}
-	next, err := newConfiguration(object.Revision, config)
+	next, err := newConfiguration(object.Revision, config, previous)
 	if err != nil {
 		g.log.Error("invalid configuration; keeping the current one", observe.Revision("revision", object.Revision), zap.String("source", source), observe.ErrorText(err))
 		return
@@ -302,7 +303,7 @@
 	g.countZones()
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
-		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 }
 
 func (g *Gateway) homesConfig() *bundle.Config {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/forward"
 	"github.com/goldcrestspan/goldcrestspan/ident"
@@ -92,7 +93,7 @@
 		g.logRefusal(q, c, refusal)
 		return refusal
 	}
-	answer := g.run(ctx, c, r, service, q)
+	answer := g.run(ctx, c, r, service, q, who)
 	g.settleQuota(permit, answer)
 	return answer
 }
@@ -127,7 +128,7 @@
 	}
 }
 
-func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query) *Answer {
+func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query, who *customer.Customer) *Answer {
 	fingerprint := fingerprintOf(q.Forward, q.Body)
 	admission := g.crashDetector.admit(fingerprint)
 	if refusal := admission.Refusal; refusal != nil {
@@ -135,7 +136,7 @@
 		g.logRefusal(q, c, answer)
 		return answer
 	}
-	querySpec := g.querySpec(c, r, service, q)
+	querySpec := g.querySpec(c, r, service, q, who)
 	querySpec.Fingerprint = uint64(fingerprint)
 	var answer *scatter.Answer
 	if admission.Canary {
@@ -146,13 +147,14 @@
 	if len(answer.Parts) > 0 {
 		g.crashDetector.suspects.RecordAnswer(g.options.Now(), fingerprint)
 	}
+	g.explainKeyRefusal(q.Forward, answer)
 	ctx, cancel := context.WithDeadline(ctx, querySpec.Deadline)
 	defer cancel()
 	out := toAnswer(ctx, r, answer)
 	took := g.options.Now().Sub(q.Arrived)
-	class := className(r) // callers are not identified; the host name stands for them
-	g.metrics.Request(r.Host, class, answer.Code, took)
-	g.metrics.Coverage(r.Host, class, len(answer.Parts), answer.Total)
+	// The host name stands for the caller; customers are counted by countCustomer.
+	g.metrics.Request(r.Host, querySpec.Class, answer.Code, took)
+	g.metrics.Coverage(r.Host, querySpec.Class, len(answer.Parts), answer.Total)
 	g.logAnswer(c, r, q, fingerprint, answer, took)
 	return out
 }
@@ -174,8 +176,8 @@
 	return answer
 }
 
-func (g *Gateway) querySpec(c *configuration, r *route.Route, service string, q Query) scatter.QuerySpec {
-	class := className(r)
+func (g *Gateway) querySpec(c *configuration, r *route.Route, service string, q Query, who *customer.Customer) scatter.QuerySpec {
+	class := classOf(r, who)
 	plan := scatter.Plan{
 		Request:     ident.NewRequestID(),
 		Snapshot:    c.singleService[service],
@@ -263,7 +265,7 @@
 
 func (g *Gateway) logRefusal(q Query, c *configuration, a *Answer) {
 	g.log.Info("request refused", zap.String("request", q.Forward.AttemptID), zap.String("host", q.Forward.Host),
-		zap.String("path", q.Path), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
+		zap.String("path", q.Path), logIdentity(q.Forward), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
 		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter))
 }
 
@@ -277,7 +279,7 @@
 func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, fingerprint quarantine.Fingerprint, a *scatter.Answer, took time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", q.Forward.AttemptID), zap.Stringer("fingerprint", fingerprint),
-		zap.String("route", r.Name), zap.Uint64("config", versionOf(c)),
+		zap.String("route", r.Name), logIdentity(q.Forward), zap.Uint64("config", versionOf(c)),
 		zap.Stringer("code", a.Code), zap.Int("parts", len(a.Parts)), zap.Int("total", a.Total),
 		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
 		zap.Duration("budget", q.Timeout), zap.Duration("took", took),
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -85,6 +85,7 @@
 // handleConfigUpdate handles the revisions that a peer has announced. It runs on the membership
 // control loop.
 func (g *Gateway) handleConfigUpdate(update member.ConfigUpdate) {
+	g.configNews.announced(g.options.Now(), update.Store.ConfigVersion, versionOf(g.inForce.Load()))
 	peers := g.peersToAsk(update)
 	g.servers.Notify(discover.Hint{Peers: peers, Revision: update.Store.Servers})
 	if g.evacuationList != nil {
--- a/result/result.go
+++ b/result/result.go
@@ -54,6 +54,7 @@
 	RetryBudgetSpent   Code = 316
 	HomeUnavailable    Code = 317
 	Suspected          Code = 318
+	CustomerOverLimit  Code = 319
 
 	OutcomeNotKnown   Code = 400
 	IssuerGone        Code = 401
@@ -95,7 +96,7 @@
 	{Complete, "complete", http.StatusOK, ResendNo, "The whole answer: every shard of the pinned snapshot is in it.", "None."},
 	{Partial, "partial", http.StatusOK, ResendIdempotent, "A true partial answer: the shards that are missing are named.", "Look at the missing shards' backend servers if the rate rises."},
 	{BadRequest, "bad_request", http.StatusBadRequest, ResendNo, "The request can't be read; the message says what is wrong and where.", "None; the caller mends its request."},
-	{Unauthorized, "unauthorized", http.StatusUnauthorized, ResendNo, "The bearer token or client certificate is of no known caller.", "Check the caller's token hash in the bundle in force."},
+	{Unauthorized, "unauthorized", http.StatusUnauthorized, ResendNo, "The bearer token, key or client certificate is missing, malformed or of no known caller or customer; nothing ran.", "Find the reason by request id in the log; check the key in the configuration in force."},
 	{RouteNotAllowed, "route_not_allowed", http.StatusNotFound, ResendNo, "There is no such route for this caller.", "Check the route's callers in the bundle in force."},
 	{TooLarge, "too_large", http.StatusRequestEntityTooLarge, ResendNo, "The request's body is over the limit.", "Raise limits.max_body_bytes if such bodies are wanted."},
 	{DeadlineUnmeetable, "deadline_unmeetable", http.StatusServiceUnavailable, ResendLater, "From the measured queues, the answer can't be had by the deadline.", "Add backend capacity if it lasts; see the saturation page."},
@@ -113,6 +114,7 @@
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusServiceUnavailable, ResendLater, "Backend servers refused, and the retry budget is spent.", "Find what makes the service refuse; budgets guard it."},
 	{HomeUnavailable, "home_unavailable", http.StatusServiceUnavailable, ResendElsewhere, "The entry host that serves the shard can't be reached; nothing was sent.", "Check the link between the entry hosts."},
 	{Suspected, "suspected", http.StatusServiceUnavailable, ResendLater, "A request like this one was running when a backend server died; such are tried again one at a time.", "None, unless it lasts; see the quarantine page."},
+	{CustomerOverLimit, "customer_over_limit", http.StatusTooManyRequests, ResendLater, "The customer is over its limit of requests.", "Compare the customer's rate with its limit; raise the limit if the rate is wanted."},
 	{OutcomeNotKnown, "outcome_unknown", http.StatusBadGateway, ResendIdempotent, "The request was sent, and whether it ran is not known.", "Follow the page on unknown bookings."},
 	{IssuerGone, "issuer_gone", http.StatusGone, ResendIdempotent, "The entry host that issued the ticket is gone; whether the booking ran is not known.", "Follow the page on unknown bookings."},
 	{BookingInProgress, "booking_in_progress", http.StatusConflict, ResendIdempotent, "The first sending of this booking is still running; ask again for its outcome.", "None, unless it lasts."},
