--- a/bundle/config.go
+++ b/bundle/config.go
@@ -1,13 +1,12 @@
 package bundle
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/goldcrestspan/goldcrestspan/customer"
 )
 
 // Defaults of optional fields.
@@ -32,7 +31,7 @@
 
 	routes       map[string]*Route
 	callers      map[string]*Caller
-	byToken      map[[sha256.Size]byte]*Caller
+	byToken      customer.Index[*Caller]
 	byCommonName map[string]*Caller
 	classes      map[string]int
 	services     map[string]*Service
@@ -48,7 +47,7 @@
 		Classes:      append([]Class(nil), docs.Classes...),
 		routes:       make(map[string]*Route, len(docs.Routes)),
 		callers:      make(map[string]*Caller, len(docs.Callers)),
-		byToken:      make(map[[sha256.Size]byte]*Caller, len(docs.Callers)),
+		byToken:      customer.NewIndex[*Caller](len(docs.Callers)),
 		byCommonName: make(map[string]*Caller, len(docs.Callers)),
 		classes:      make(map[string]int, len(docs.Classes)),
 		services:     make(map[string]*Service, len(docs.Services)),
@@ -91,11 +90,11 @@
 	if caller.TokenSHA256 == "" {
 		return nil
 	}
-	raw, err := hex.DecodeString(caller.TokenSHA256)
-	if err != nil || len(raw) != sha256.Size {
-		return errors.Errorf("caller %s: token_sha256 must be %d hexadecimal digits", caller.Name, 2*sha256.Size)
+	credential, err := customer.ParseCredential(caller.TokenSHA256)
+	if err != nil {
+		return errors.Wrapf(err, "caller %s: token_sha256", caller.Name)
 	}
-	c.byToken[[sha256.Size]byte(raw)] = &caller
+	c.byToken.Add(credential, &caller)
 	return nil
 }
 
@@ -131,15 +130,10 @@
 	return route, true
 }
 
-// CallerByToken returns the caller with the bearer token, comparing hashes.
+// CallerByToken returns the caller with the bearer token. Only hashes are compared, so that the
+// time of the comparison tells nothing about a token.
 func (c *Config) CallerByToken(token string) (*Caller, bool) {
-	sum := sha256.Sum256([]byte(token))
-	caller, ok := c.byToken[sum]
-	if !ok {
-		return nil, false
-	}
-	want, err := hex.DecodeString(caller.TokenSHA256)
-	return caller, err == nil && subtle.ConstantTimeCompare(want, sum[:]) == 1
+	return c.byToken.Lookup(customer.CredentialOf(token))
 }
 
 // CallerByCertificate returns the caller with the common name of a verified client
--- a/customer/customer.go
+++ b/customer/customer.go
@@ -1,7 +1,12 @@
 // Package customer identifies the customers that send requests, by their keys.
 package customer
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+)
 
 // Customer is an organization whose callers send requests.
 type Customer struct {
@@ -29,6 +34,20 @@
 // CredentialOf returns the hash of a key.
 func CredentialOf(key string) Credential { return sha256.Sum256([]byte(key)) }
 
+// ParseCredential parses the hexadecimal form of a hash.
+func ParseCredential(text string) (Credential, error) {
+	hash, err := hex.DecodeString(text)
+	if err != nil || len(hash) != sha256.Size {
+		return Credential{}, errors.Errorf("the hash of a key must be %d hexadecimal digits", 2*sha256.Size)
+	}
+	return Credential(hash), nil
+}
+
+// String returns the first digits of the hash, by which operators can tell keys apart in logs.
+func (c Credential) String() string { return hex.EncodeToString(c[:shownBytes]) }
+
+const shownBytes = 4
+
 // IsZero reports whether there is no key.
 func (c Credential) IsZero() bool { return c == Credential{} }
 
--- a/customer/directory.go
+++ b/customer/directory.go
@@ -95,7 +95,7 @@
 func (d *Directory) Customers() []Customer { return d.customers }
 
 // Identify returns the customer that the values of a request's authorization header identify,
-// and its key's hash. The error is a *Problem.
+// and its key's hash. The error is a *Problem; with ErrUnknownKey the hash is that of the key.
 func (d *Directory) Identify(authorization []string) (*Customer, Credential, error) {
 	key, problem := ParseAuthorization(authorization)
 	if problem != nil {
@@ -104,7 +104,7 @@
 	credential := CredentialOf(key)
 	owner, found := d.index.Lookup(credential)
 	if !found {
-		return nil, Credential{}, ErrUnknownKey
+		return nil, credential, ErrUnknownKey
 	}
 	return owner, credential, nil
 }
--- a/discover/follower.go
+++ b/discover/follower.go
@@ -38,6 +38,9 @@
 	IsWatcher func() bool
 	// WatcherCount returns how many hosts watch the store; nil: this one only.
 	WatcherCount func() int
+	// WatchLimit bounds the next watch, whose end tells that the store still answers; nil or 0:
+	// no further bound.
+	WatchLimit func() time.Duration
 	// Joined reports whether a peer has answered this host, and so sent its
 	// revisions; nil: unknown.
 	Joined func() bool
@@ -86,7 +89,7 @@
 func (f *Follower) HasSynced() bool { return f.synced.Load() }
 
 // LastContact is when the store last answered this host, or when this host last followed
-// its peers; zero: never.
+// its peers; zero: never. The answer has been passed to OnChange by then.
 func (f *Follower) LastContact() time.Time {
 	if at := f.lastContact.Load(); at != 0 {
 		return time.Unix(0, at)
@@ -229,11 +232,11 @@
 		observe.Revision("store_revision", revision), zap.Int("objects", len(objects)))...)
 	f.config.Metrics.countList(f.config.Prefix, f.listReason)
 	f.config.Metrics.setRevision(f.config.Prefix, revision)
-	f.noteContact()
 	rewound := f.listReason == listWithoutHistory && f.rewind(revision)
 	f.advanceRevision(revision)
 	changed := f.mirror.Replace(f.config.Now(), objects, revision)
 	f.publish(changed || rewound || !f.HasSynced() || recovered)
+	f.noteContact()
 	// Set after the list was applied: a host that is ready earlier would refuse
 	// requests for lack of servers.
 	f.synced.Store(true)
@@ -262,7 +265,7 @@
 
 // watch applies the next change of the store. While it waits it handles ticks and hints.
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout(f.watcherCount()))
+	ctx, cancel := context.WithTimeout(ctx, f.nextWatchTimeout())
 	defer cancel()
 	results := make(chan watchResult, 1)
 	go func() {
@@ -277,10 +280,10 @@
 			if w.err != nil {
 				return w.err
 			}
-			f.noteContact()
 			f.config.Metrics.setRevision(f.config.Prefix, w.revision)
 			f.advanceRevision(w.revision)
 			f.publish(f.mirror.ApplyChanges(f.config.Now(), w.objects, w.revision))
+			f.noteContact()
 			f.batchChanges(ctx, len(w.objects))
 			return nil
 		case <-timer.C:
@@ -375,6 +378,16 @@
 	}
 }
 
+func (f *Follower) nextWatchTimeout() time.Duration {
+	timeout := watchTimeout(f.watcherCount())
+	if f.config.WatchLimit != nil {
+		if limit := f.config.WatchLimit(); limit > 0 {
+			timeout = min(timeout, limit)
+		}
+	}
+	return timeout
+}
+
 func (f *Follower) watcherCount() int {
 	if f.config.WatcherCount == nil {
 		return 1
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -25,6 +25,7 @@
 	dig.In
 
 	Metrics      *observe.Metrics
+	Customers    *observe.CustomerMetrics
 	Members      *member.Agent
 	Homes        *homeserver.Server
 	Coordinators coordinators
@@ -46,6 +47,7 @@
 		func() *zap.Logger { return g.options.Logger },
 		func() *prometheus.Registry { return g.options.Registry },
 		func(r *prometheus.Registry) (*observe.Metrics, error) { return observe.NewMetrics(r) },
+		observe.NewCustomerMetrics,
 		func() *peer.Pool { return peer.NewPool(nil) },
 		peer.NewServer,
 		discover.NewRelay,
@@ -71,6 +73,7 @@
 	err := container.Invoke(func(b components) {
 		storeMetrics = b.StoreMetrics
 		g.metrics, g.members, g.homes = b.Metrics, b.Members, b.Homes
+		g.customerMetrics = b.Customers
 		g.coordinators, g.relay = b.Coordinators, b.Relay
 		g.peers, g.proxyServer = b.Peers, b.ProxyServer
 		g.homeLegRunner, g.remoteForecasts = b.HomeLegs, b.Forecasts
@@ -218,9 +221,13 @@
 }
 
 func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, batchInterval func() time.Duration, onChange func([]metastore.Object, metastore.Revision)) *discover.Follower {
+	var watchLimit func() time.Duration
+	if prefix == g.options.ConfigKey {
+		watchLimit = g.configWatchLimit
+	}
 	return discover.NewFollower(discover.Config{
 		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, OnChange: onChange,
-		Relay: g.relay, IsWatcher: g.isWatcher, WatcherCount: g.watcherCount, Joined: g.members.Joined, BatchInterval: batchInterval, AllowStaleFirstList: prefix != g.options.ConfigKey,
+		Relay: g.relay, IsWatcher: g.isWatcher, WatcherCount: g.watcherCount, WatchLimit: watchLimit, Joined: g.members.Joined, BatchInterval: batchInterval, AllowStaleFirstList: prefix != g.options.ConfigKey,
 		Order: g.options.Decode.Order, Metrics: metrics,
 	})
 }
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -46,7 +46,7 @@
 		q.Forward.Header.Del(name)
 	}
 	who, credential, err := c.customers.Identify(q.Authorization)
-	q.Authorization = nil
+	q.Authorization, q.credential = nil, credential
 	known := err == nil && !g.keysOutdated(c)
 	switch {
 	case r.Public && known:
@@ -65,13 +65,24 @@
 // refuseKey refuses a request on account of its key; no error means that the key is known, but
 // may have been removed.
 func (g *Gateway) refuseKey(c *configuration, err error) *Answer {
+	problem := new(customer.Problem)
 	switch {
-	case err == nil:
+	case !errors.As(err, &problem):
+		g.customerMetrics.KeyRefused(eligible.KeysOutdated.String())
 		return newRefusal(result.CutOff, keysOutdatedDetail, otherHostRetryAfter)
-	case errors.Is(err, customer.ErrUnknownKey) && !g.configConfirmed(c):
+	case problem == customer.ErrUnknownKey && !g.configConfirmed(c):
+		g.customerMetrics.KeyRefused("unconfirmed")
 		return newRefusal(result.NotReady, "the key is unknown here, and this host's configuration may be out of date", otherHostRetryAfter)
 	default:
-		return newRefusal(result.Unauthorized, err.Error(), 0)
+		g.customerMetrics.KeyRefused(problem.Name)
+		return newRefusal(result.Unauthorized, problem.Error(), 0)
+	}
+}
+
+// countCustomer counts a finished request of a customer, if there is one.
+func (g *Gateway) countCustomer(who *customer.Customer, answer *Answer) {
+	if who != nil {
+		g.customerMetrics.Request(g.options.Now(), who.Name, answer.Code)
 	}
 }
 
@@ -102,6 +113,21 @@
 	return at
 }
 
+// configWatchLimit bounds watches of the configuration where only the store can confirm it: a
+// watch without a change must end before the confirmation is too old. 0: no bound.
+func (g *Gateway) configWatchLimit() time.Duration {
+	c := g.inForce.Load()
+	if c == nil || c.customers == nil || g.options.Now().Sub(g.members.LastPeerContact()) <= maxPeerSilence {
+		return 0
+	}
+	o := &g.options.Customers
+	limit := o.ConfigTimeout
+	if o.StrictRevocation {
+		limit = min(limit, o.RevocationTimeout)
+	}
+	return limit / 2
+}
+
 // configNews is what this host knows of configuration versions that are not in force here. Each
 // answer of a peer comes with the version that the peer has, which is recorded before the answer
 // counts as contact; a peer with an equal or older version thereby confirms this host's.
@@ -194,7 +220,11 @@
 	if !answer.Code.NotRun() {
 		return
 	}
-	switch g.checkKey(f) {
+	reason := g.checkKey(f)
+	if isKeyReason(reason) {
+		g.customerMetrics.KeyRefused(reason.String())
+	}
+	switch reason {
 	case eligible.KeyRemoved:
 		answer.Code, answer.Detail, answer.RetryAfter = result.Unauthorized, keyRemovedDetail, 0
 	case eligible.KeysOutdated:
@@ -202,10 +232,18 @@
 	}
 }
 
-// logIdentity returns the log fields that lead from a request to its customer.
-func logIdentity(f *forward.Request) zap.Field {
+// logCustomer is the log field for a request's customer, if it has one.
+func logCustomer(f *forward.Request) zap.Field {
 	if f.Customer == "" {
 		return zap.Skip()
 	}
 	return zap.String("customer", f.Customer)
 }
+
+// logKey is the log field for the key of a request, if it has one: the first digits of its hash.
+func logKey(credential customer.Credential) zap.Field {
+	if credential.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Stringer("key_hash", credential)
+}
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -26,7 +26,7 @@
 	if reason == eligible.Allowed {
 		return r.runner.Run(ctx, server, r.clean(call))
 	}
-	r.log.Info("attempt was held back", logIdentity(call.Forward), zap.String("request", call.Forward.AttemptID), zap.String("server", server.Name), zap.String("zone", server.Zone), zap.Stringer("reason", reason))
+	r.log.Info("attempt was held back", logCustomer(call.Forward), logKey(call.Forward.Credential), zap.String("request", call.Forward.AttemptID), zap.String("server", server.Name), zap.String("zone", server.Zone), zap.Stringer("reason", reason))
 	fault := backend.FaultNotAllowed
 	if isKeyReason(reason) {
 		fault = backend.FaultKeyRefused
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,16 +98,17 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	options      Options
-	startedAt    time.Time
-	log          *zap.Logger
-	metrics      *observe.Metrics
-	members      *member.Agent
-	homes        *homeserver.Server
-	coordinators coordinators
-	relay        *discover.Relay
-	configs      *discover.Follower
-	servers      *discover.Follower
+	options         Options
+	startedAt       time.Time
+	log             *zap.Logger
+	metrics         *observe.Metrics
+	customerMetrics *observe.CustomerMetrics
+	members         *member.Agent
+	homes           *homeserver.Server
+	coordinators    coordinators
+	relay           *discover.Relay
+	configs         *discover.Follower
+	servers         *discover.Follower
 	// evacuationList is nil if zones are never evacuated.
 	evacuationList  *discover.Follower
 	peers           *peer.Server
@@ -195,9 +196,10 @@
 const eventQueueSize = 64
 
 // Ready reports whether callers should be sent here: configuration, servers and evacuations
-// are known, and the host is neither stopping nor cut off.
+// are known, and the host is neither stopping nor cut off, nor refuses customers' keys.
 func (g *Gateway) Ready() bool {
-	return g.inForce.Load() != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff()
+	c := g.inForce.Load()
+	return c != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff() && !(c.customers != nil && g.keysOutdated(c))
 }
 
 // Stopping reports whether a planned stop has begun.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,6 +38,7 @@
 	Connection *Connection
 	// Authorization holds the values of the request's authorization header.
 	Authorization []string
+	credential    customer.Credential // hash of the key, set when the customer is identified
 	// Path is the path without the query string.
 	Path    string
 	Forward *forward.Request
@@ -90,10 +91,12 @@
 	}
 	permit, refusal := g.takeQuota(who)
 	if refusal != nil {
+		g.countCustomer(who, refusal)
 		g.logRefusal(q, c, refusal)
 		return refusal
 	}
 	answer := g.run(ctx, c, r, service, q, who)
+	g.countCustomer(who, answer)
 	g.settleQuota(permit, answer)
 	return answer
 }
@@ -265,7 +268,7 @@
 
 func (g *Gateway) logRefusal(q Query, c *configuration, a *Answer) {
 	g.log.Info("request refused", zap.String("request", q.Forward.AttemptID), zap.String("host", q.Forward.Host),
-		zap.String("path", q.Path), logIdentity(q.Forward), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
+		zap.String("path", q.Path), logCustomer(q.Forward), logKey(q.credential), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
 		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter))
 }
 
@@ -279,7 +282,7 @@
 func (g *Gateway) logAnswer(c *configuration, r *route.Route, q Query, fingerprint quarantine.Fingerprint, a *scatter.Answer, took time.Duration) {
 	fields := []zap.Field{
 		zap.String("request", q.Forward.AttemptID), zap.Stringer("fingerprint", fingerprint),
-		zap.String("route", r.Name), logIdentity(q.Forward), zap.Uint64("config", versionOf(c)),
+		zap.String("route", r.Name), logCustomer(q.Forward), logKey(q.credential), zap.Uint64("config", versionOf(c)),
 		zap.Stringer("code", a.Code), zap.Int("parts", len(a.Parts)), zap.Int("total", a.Total),
 		zap.Int("attempts", a.Attempts), zap.Int("hedges", a.Hedges),
 		zap.Duration("budget", q.Timeout), zap.Duration("took", took),
