--- a/discover/start_test.go
+++ b/discover/start_test.go
@@ -59,6 +59,46 @@
 	})
 }
 
+// quietStore ends each watch shortly before its deadline, without a change.
+type quietStore struct{ metastore.Store }
+
+func (quietStore) Watch(ctx context.Context, _ string, after metastore.Revision) ([]metastore.Object, metastore.Revision, error) {
+	deadline, _ := ctx.Deadline()
+	time.Sleep(time.Until(deadline) - 50*time.Millisecond)
+	return nil, after, nil
+}
+
+// Guards against a store's answer that counts as contact before it is applied, and against
+// watches that outlast the bound on the time without contact.
+func TestContactFollowsTheAppliedAnswerWithinTheWatchLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingStore{Store: quietStore{standin.NewPlatform()}}
+		var f *Follower
+		var contactOnChange time.Time
+		changes := 0
+		f = NewFollower(Config{
+			Store: store, Prefix: "config/", Now: time.Now, Logger: zap.NewNop(),
+			IsWatcher:  func() bool { return true },
+			WatchLimit: func() time.Duration { return time.Second },
+			OnChange: func([]metastore.Object, metastore.Revision) {
+				changes++
+				contactOnChange = f.LastContact()
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(changes, 1)
+		is.True(contactOnChange.IsZero())
+		is.True(time.Since(f.LastContact()) <= time.Second)
+		is.True(store.watches >= 9)
+		cancel()
+		is.NoErr(<-done)
+	})
+}
+
 // Guards against a stale list after an outage of the store, which would keep servers that
 // left meanwhile.
 func TestListAfterAnOutageIsNotStale(t *testing.T) {
