--- a/gateway/components.go
+++ b/gateway/components.go
@@ -61,7 +61,9 @@
 		g.newHomes,
 		g.newSharedHomes,
 		newEvacuations,
-		newHomeLegRunner,
+		func(local *homeserver.Server, registry *prometheus.Registry) (*homeLegRunner, error) {
+			return newHomeLegRunner(local, g.explainPeerKeyRefusal, registry)
+		},
 		func() *remoteForecasts { return newRemoteForecasts(g.options.Now) },
 		g.newCoordinators,
 	} {
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/route"
 	"github.com/goldcrestspan/goldcrestspan/scatter"
@@ -186,12 +187,6 @@
 	}
 }
 
-// isKeyReason reports whether the reason concerns the request's key, so that no other server may
-// get the request either.
-func isKeyReason(reason eligible.Reason) bool {
-	return reason == eligible.KeyRemoved || reason == eligible.KeysOutdated
-}
-
 // withoutCallerHeaders removes the headers that identify customers from a request that arrived
 // before the configuration listed customers, here or at another host.
 func (g *Gateway) withoutCallerHeaders(call backend.Call) backend.Call {
@@ -221,15 +216,30 @@
 		return
 	}
 	reason := g.checkKey(f)
-	if isKeyReason(reason) {
-		g.customerMetrics.KeyRefused(reason.String())
-	}
 	switch reason {
 	case eligible.KeyRemoved:
 		answer.Code, answer.Detail, answer.RetryAfter = result.Unauthorized, keyRemovedDetail, 0
 	case eligible.KeysOutdated:
 		answer.Code, answer.Detail, answer.RetryAfter = result.CutOff, keysOutdatedDetail, otherHostRetryAfter
+	default:
+		return
+	}
+	g.customerMetrics.KeyRefused(reason.String())
+}
+
+// explainPeerKeyRefusal does the same for a leg of another host's search. A host that may not
+// have heard of removed keys lets the other host run the leg itself.
+func (g *Gateway) explainPeerKeyRefusal(f *forward.Request, res leg.Result) leg.Result {
+	if !res.Outcome.NotRun() {
+		return res
+	}
+	switch g.checkKey(f) {
+	case eligible.KeyRemoved:
+		res.Code, res.Detail, res.RetryAfter = result.Unauthorized, keyRemovedDetail, 0
+	case eligible.KeysOutdated:
+		res.Code, res.Detail = result.NotReady, keysOutdatedDetail
 	}
+	return res
 }
 
 // logCustomer is the log field for a request's customer, if it has one.
--- a/gateway/customers_test.go
+++ b/gateway/customers_test.go
@@ -15,6 +15,7 @@
 	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -184,6 +185,13 @@
 	g.options.Customers.StrictRevocation = true
 	is.Equal(check("kept"), eligible.KeysOutdated)
 
+	unsent := leg.Result{Code: result.BackendsRefused, Outcome: result.OutcomeUnsent}
+	ofKey := func(key string) *forward.Request { return &forward.Request{Credential: customer.CredentialOf(key)} }
+	is.Equal(g.explainPeerKeyRefusal(ofKey("removed"), unsent).Code, result.Unauthorized)
+	is.Equal(g.explainPeerKeyRefusal(ofKey("kept"), unsent).Code, result.NotReady) // runs at its root
+	ran := leg.Result{Code: result.OutcomeNotKnown}
+	is.Equal(g.explainPeerKeyRefusal(ofKey("removed"), ran).Code, ran.Code)
+
 	answer := &scatter.Answer{Code: result.BackendsRefused}
 	f := &forward.Request{Credential: customer.CredentialOf("removed")}
 	g.explainKeyRefusal(f, answer)
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -28,7 +28,7 @@
 	}
 	r.log.Info("attempt was held back", logCustomer(call.Forward), logKey(call.Forward.Credential), zap.String("request", call.Forward.AttemptID), zap.String("server", server.Name), zap.String("zone", server.Zone), zap.Stringer("reason", reason))
 	fault := backend.FaultNotAllowed
-	if isKeyReason(reason) {
+	if reason == eligible.KeyRemoved {
 		fault = backend.FaultKeyRefused
 	}
 	return backend.CallResult{Outcome: result.OutcomeUnsent, Fault: fault}
--- a/gateway/home_legs.go
+++ b/gateway/home_legs.go
@@ -35,13 +35,15 @@
 // greatest records.
 type homeLegRunner struct {
 	local *homeserver.Server
+	// explainKeyRefusal sets the code of a leg that has not run on account of its key.
+	explainKeyRefusal func(*forward.Request, leg.Result) leg.Result
 	// running counts running legs; a planned stop waits for them.
 	running atomic.Int64
 	cache   *lru.Cache[partKey, *forward.Reply]
 	counter prometheus.Counter
 }
 
-func newHomeLegRunner(local *homeserver.Server, registry *prometheus.Registry) (*homeLegRunner, error) {
+func newHomeLegRunner(local *homeserver.Server, explainKeyRefusal func(*forward.Request, leg.Result) leg.Result, registry *prometheus.Registry) (*homeLegRunner, error) {
 	cache, err := lru.New[partKey, *forward.Reply](maxCachedParts)
 	if err != nil {
 		return nil, errors.Wrap(err, "create cache of full parts")
@@ -50,7 +52,7 @@
 		Namespace: "goldcrestspan", Name: "home_legs_total",
 		Help: "Legs of other hosts' searches that this host ran as the home of their service.",
 	})
-	return &homeLegRunner{local: local, cache: cache, counter: counter}, registry.Register(counter)
+	return &homeLegRunner{local: local, explainKeyRefusal: explainKeyRefusal, cache: cache, counter: counter}, registry.Register(counter)
 }
 
 // Run implements leg.Runner.
@@ -67,7 +69,7 @@
 	s.counter.Inc()
 	return s.local.Run(request, func(res leg.Result) {
 		s.running.Add(-1)
-		done(s.truncate(request, notReadyIfUnknown(res)))
+		done(s.truncate(request, s.explainKeyRefusal(request.Forward, notReadyIfUnknown(res))))
 	})
 }
 
