--- a/gateway/customers_test.go
+++ b/gateway/customers_test.go
@@ -96,6 +96,16 @@
 	is.True(!confirmed(4, 0)) // received, not in force yet
 }
 
+// Guards against news of a newer configuration that are not taken into account.
+func TestAnnouncedConfigurationMakesThisHostBehind(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, testConfiguration(t, 3, nil, testAccount("a", nil, "k")))
+	g.handleConfigUpdate(member.ConfigUpdate{From: "peer", Store: member.StoreRevisions{ConfigVersion: 3}})
+	is.True(!g.configNews.isBehind(3))
+	g.handleConfigUpdate(member.ConfigUpdate{From: "peer", Store: member.StoreRevisions{ConfigVersion: 4}})
+	is.True(g.configNews.isBehind(3))
+}
+
 // Guards against a host that accepts removed keys for longer than allowed because it hears of
 // newer configurations without getting them.
 func TestHostThatStaysBehindCountsAsSilent(t *testing.T) {
@@ -123,6 +133,7 @@
 	g.options.Now = time.Now
 	g.options.Customers = CustomerOptions{Headers: []string{"Key-Header", "Customer-Header"}, ConfigTimeout: time.Second}
 	g.configs = discover.NewFollower(discover.Config{Now: time.Now})
+	g.servers = discover.NewFollower(discover.Config{Now: time.Now})
 	g.members = member.NewAgent(member.AgentConfig{Now: time.Now, Logger: g.log, Registerer: prometheus.NewRegistry()})
 	g.inForce.Store(c)
 	return g
