--- a/front/check_test.go
+++ b/front/check_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// Guards against a caller that is let in without exactly one well-formed token, and a token in
+// the reply that refuses it.
+func TestCallersNeedOneToken(t *testing.T) {
+	is := is.New(t)
+	service, handler := newFront(t)
+	for _, values := range [][]string{nil, {"Bearer "}, {"Basic token"}, {"Bearer token", "Bearer token"}, {"Bearer secret-token"}} {
+		r := httptest.NewRequest(http.MethodPost, "/v1/query/slots", strings.NewReader(`{"body":1}`))
+		r.Header["Authorization"] = values
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		is.Equal(w.Code, http.StatusUnauthorized) // of values
+		is.True(!strings.Contains(w.Body.String(), "secret"))
+	}
+	is.Equal(service.queries, 0)
+}
+
 // Guards against refusing, or obeying, a deadline above that of the route.
 func TestLongDeadlineIsCappedByTheRoute(t *testing.T) {
 	is := is.New(t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,16 +98,17 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	options      Options
-	startedAt    time.Time
-	log          *zap.Logger
-	metrics      *observe.Metrics
-	members      *member.Agent
-	homes        *homeserver.Server
-	coordinators coordinators
-	relay        *discover.Relay
-	configs      *discover.Follower
-	servers      *discover.Follower
+	options         Options
+	startedAt       time.Time
+	log             *zap.Logger
+	metrics         *observe.Metrics
+	customerMetrics *observe.CustomerMetrics
+	members         *member.Agent
+	homes           *homeserver.Server
+	coordinators    coordinators
+	relay           *discover.Relay
+	configs         *discover.Follower
+	servers         *discover.Follower
 	// evacuationList is nil if zones are never evacuated.
 	evacuationList  *discover.Follower
 	peers           *peer.Server
@@ -126,6 +127,7 @@
 	budgetPlacement *placement
 	budgetBasis     budgetBasis
 	inForce         atomic.Pointer[configuration]
+	configNews      configNews
 	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
 	split           atomic.Pointer[splitServices]
@@ -194,9 +196,10 @@
 const eventQueueSize = 64
 
 // Ready reports whether callers should be sent here: configuration, servers and evacuations
-// are known, and the host is neither stopping nor cut off.
+// are known, and the host is neither stopping nor cut off, nor refuses customers' keys.
 func (g *Gateway) Ready() bool {
-	return g.inForce.Load() != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff()
+	c := g.inForce.Load()
+	return c != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff() && !(c.customers != nil && g.keysOutdated(c))
 }
 
 // Stopping reports whether a planned stop has begun.
@@ -288,7 +291,7 @@
 		g.log.Warn("older configuration is left out", zap.Uint64("version", config.Version), zap.Uint64("in_force", previous.version()), observe.Revision("revision", object.Revision))
 		return
 	}
-	next, err := newConfiguration(object.Revision, config)
+	next, err := newConfiguration(object.Revision, config, previous)
 	if err != nil {
 		g.log.Error("invalid configuration; keeping the current one", observe.Revision("revision", object.Revision), zap.String("source", source), observe.ErrorText(err))
 		return
@@ -302,7 +305,7 @@
 	g.countZones()
 	g.announce()
 	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
-		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 }
 
 func (g *Gateway) homesConfig() *bundle.Config {
