--- /dev/null
+++ b/quota/grantor.go
@@ -0,0 +1,270 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/customer"
+)
+
+// Limit is a customer's limit.
+type Limit = customer.Limit
+
+// Ask is what a host tells the grantor of one customer.
+type Ask struct {
+	Customer string
+	Needed   int // requests that wait, and credit that was used
+	Ahead    int // requests expected before the next report
+	Refused  int // requests refused since the last report
+	Returned []Return
+}
+
+// Return is part of a grant that was not used, or whose request did not run.
+type Return struct {
+	Grantor uint64 // instance of the grantor that issued it
+	Seq     uint32 // of the grant
+	Count   int
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Count int
+	Seq   uint32
+	// NotGrantor is set by a host that does not grant for the customer.
+	NotGrantor bool
+	// RoomIn is when the next request can be issued, if fewer than needed were.
+	RoomIn time.Duration
+	// RetryIn is the first of Slots times, one at each Spacing, that refused callers of this host
+	// may come back at.
+	RetryIn, Spacing time.Duration
+	Slots            int
+}
+
+const (
+	// maxChoices is how many past views are remembered.
+	maxChoices = 8
+	// maxSlots bounds the times to come back that one answer reserves.
+	maxSlots = 256
+	// idleBuckets is how long an unused bucket is kept at least.
+	idleBuckets = time.Minute
+)
+
+// choice is a view's choice of grantors during a time.
+type choice struct {
+	isSelf func(customer string) bool
+	since  time.Time
+}
+
+// Grantor issues requests for the customers that this host is chosen for. It is safe for
+// concurrent use.
+type Grantor struct {
+	bounds   Bounds
+	instance uint64
+
+	mu       sync.Mutex
+	limits   map[string]Limit
+	buckets  map[string]*bucket
+	choices  []choice // the last is in force
+	lastTick time.Time
+	sweptAt  time.Time
+}
+
+// NewGrantor returns a grantor that no view has chosen yet. The instance distinguishes starts of
+// hosts.
+func NewGrantor(bounds Bounds, instance uint64) *Grantor {
+	return &Grantor{bounds: bounds, instance: instance, limits: make(map[string]Limit), buckets: make(map[string]*bucket)}
+}
+
+// Instance identifies this grantor in a Return.
+func (g *Grantor) Instance() uint64 { return g.instance }
+
+// SetLimits puts a configuration in force: the limits by customer.
+func (g *Grantor) SetLimits(now time.Time, limits map[string]Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits = limits
+	for name, b := range g.buckets {
+		limit, limited := limits[name]
+		if !limited {
+			delete(g.buckets, name)
+			continue
+		}
+		if limit != b.limit {
+			b.setLimit(now, limit, g.bounds)
+		}
+	}
+}
+
+// SetView is called when a view with other serving hosts is in force; isSelf tells whether it
+// chooses this host for a customer. Nil: this host may not grant, since it may have been replaced
+// without knowing.
+func (g *Grantor) SetView(now time.Time, isSelf func(customer string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setView(now, isSelf)
+}
+
+func (g *Grantor) setView(now time.Time, isSelf func(customer string) bool) {
+	if isSelf == nil {
+		isSelf = func(string) bool { return false }
+	}
+	if len(g.choices) == maxChoices {
+		g.choices = append(g.choices[:0], g.choices[1:]...)
+	}
+	g.choices = append(g.choices, choice{isSelf, now})
+	for name, b := range g.buckets {
+		g.charge(now, b, isSelf(name))
+	}
+}
+
+// charge makes this host the customer's grantor, or ends that.
+func (g *Grantor) charge(now time.Time, b *bucket, inCharge bool) {
+	switch {
+	case b.inCharge && !inCharge:
+		b.advance(now)
+		b.lostAt = now
+	case !b.inCharge && inCharge:
+		allowance := g.bounds.startAllowance(b.limit)
+		if now.Sub(b.lostAt) < g.bounds.Window {
+			allowance = min(allowance, b.level)
+		}
+		b.level, b.at = allowance, now.Add(viewDelay)
+		b.peaks = nil
+		b.seq++ // earlier grants aren't taken back
+		b.promised = time.Time{}
+	}
+	b.inCharge = inCharge
+}
+
+// Tick is called several times a second while the process runs. A host that was stopped for long
+// may have been replaced meanwhile, and starts like a new grantor.
+func (g *Grantor) Tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tick(now)
+	if now.Sub(g.sweptAt) >= idleBuckets {
+		g.sweptAt = now
+		for name, b := range g.buckets {
+			b.advance(now)
+			if now.Sub(b.usedAt) >= idleBuckets && (!b.inCharge || b.level >= b.depth) {
+				delete(g.buckets, name)
+			}
+		}
+	}
+}
+
+func (g *Grantor) tick(now time.Time) {
+	if !g.lastTick.IsZero() && now.Sub(g.lastTick) > maxStall && len(g.choices) > 0 {
+		inForce := g.choices[len(g.choices)-1].isSelf
+		g.setView(g.lastTick, nil)
+		g.setView(now, inForce)
+	}
+	g.lastTick = now
+}
+
+// bucket returns the customer's bucket, nil if this host does not grant for it.
+func (g *Grantor) bucket(now time.Time, name string, limit Limit) *bucket {
+	b := g.buckets[name]
+	if b == nil {
+		since, inCharge := g.since(name)
+		if !inCharge {
+			return nil
+		}
+		b = &bucket{limit: limit, depth: g.bounds.depth(limit), inCharge: true}
+		b.level, b.at = g.bounds.startAllowance(limit), since.Add(viewDelay)
+		g.buckets[name] = b
+	}
+	if !b.inCharge {
+		return nil
+	}
+	b.advance(now)
+	b.usedAt = now
+	return b
+}
+
+// since is when this host became the customer's grantor, or a later time if that is forgotten.
+func (g *Grantor) since(name string) (since time.Time, inCharge bool) {
+	for i := len(g.choices) - 1; i >= 0 && g.choices[i].isSelf(name); i-- {
+		since, inCharge = g.choices[i].since, true
+	}
+	return since, inCharge
+}
+
+// Serve answers a host.
+func (g *Grantor) Serve(now time.Time, asks []Ask) []Grant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tick(now)
+	grants := make([]Grant, len(asks))
+	for i, ask := range asks {
+		grants[i] = g.serve(now, ask)
+	}
+	return grants
+}
+
+func (g *Grantor) serve(now time.Time, ask Ask) Grant {
+	needed, ahead := clampCount(ask.Needed), clampCount(ask.Ahead)
+	limit, limited := g.limits[ask.Customer]
+	if !limited {
+		// The host's configuration is older or newer than this one.
+		return Grant{Count: min(needed+ahead, MaxAhead)}
+	}
+	b := g.bucket(now, ask.Customer, limit)
+	if b == nil {
+		return Grant{NotGrantor: true}
+	}
+	for _, r := range ask.Returned {
+		if r.Grantor == g.instance && r.Count > 0 {
+			b.giveBack(r.Seq, r.Count)
+		}
+	}
+	var grant Grant
+	whole := int(max(b.level, 0) + 1e-9)
+	grant.Count = min(needed, whole)
+	// What is asked for ahead may stay unused, so that half is kept for hosts in need.
+	grant.Count += min(ahead, (whole-grant.Count+1)/2, MaxAhead-grant.Count)
+	if grant.Count > 0 {
+		grant.Seq = b.take(grant.Count)
+		b.recent.add(now, g.bounds.Window, float64(grant.Count))
+	}
+	if grant.Count < needed || ask.Refused > 0 && b.level < 1 {
+		grant.RoomIn = b.untilLevel(now, 1)
+		g.reserve(now, b, &grant, max(needed-grant.Count, 1)+min(max(ask.Refused, 0), maxSlots))
+	}
+	return grant
+}
+
+// reserve promises times to come back to the callers that one host refuses.
+func (g *Grantor) reserve(now time.Time, b *bucket, grant *Grant, slots int) {
+	room := now.Add(grant.RoomIn)
+	grant.Spacing = seconds(1 / b.limit.PerSecond)
+	grant.Slots = min(slots, maxSlots)
+	start := b.promised
+	if start.Before(room) || start.Sub(now) > g.bounds.retryHorizon() {
+		start = room
+	}
+	grant.RetryIn = start.Sub(now)
+	b.promised = start.Add(time.Duration(grant.Slots) * grant.Spacing)
+}
+
+func clampCount(n int) int { return min(max(n, 0), MaxAhead) }
+
+// Use is how much of a customer's limit was issued lately.
+type Use struct {
+	Customer string
+	Rate     float64 // requests per second
+	Limit    Limit
+}
+
+// Uses returns the use of those of the customers that this host grants for.
+func (g *Grantor) Uses(now time.Time, customers []string) []Use {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var uses []Use
+	for _, name := range customers {
+		if b := g.buckets[name]; b != nil && b.inCharge {
+			uses = append(uses, Use{name, b.recent.perSecond(now, g.bounds.Window), b.limit})
+		}
+	}
+	return uses
+}
