--- a/gateway/components.go
+++ b/gateway/components.go
@@ -37,6 +37,7 @@
 	Evacuations  *evacuations
 	SharedHomes  *homes
 	Crashes      *crashDetector
+	Quotas       *quotas
 }
 
 // build constructs and connects the components; the container orders the constructors.
@@ -56,6 +57,8 @@
 			return newProxyServer(loggingRunner{g.withEligibility(g.options.Backends, g.checkForPeer), g.log, g.options.Now, &g.attempts})
 		},
 		g.newCrashDetector,
+		newQuotaMetrics,
+		g.newQuotas,
 		g.newHomes,
 		g.newSharedHomes,
 		newEvacuations,
@@ -75,7 +78,7 @@
 		g.peers, g.proxyServer = b.Peers, b.ProxyServer
 		g.homeLegRunner, g.remoteForecasts = b.HomeLegs, b.Forecasts
 		g.evacuations, g.sharedHomes = b.Evacuations, b.SharedHomes
-		g.crashDetector = b.Crashes
+		g.crashDetector, g.quotas = b.Crashes, b.Quotas
 	})
 	if err != nil {
 		return err
@@ -86,6 +89,9 @@
 	if err := g.crashDetector.canaries.register(g.peers.Mux()); err != nil {
 		return err
 	}
+	if err := g.quotas.register(g.peers.Mux()); err != nil {
+		return err
+	}
 	exchangeServer := exchange.NewServer(peerLegRunner{proxy: g.proxyServer, homes: g.homeLegRunner}, g.options.Now)
 	exchangeServer.Forecast = g.homes.Forecast
 	if err := exchangeServer.Register(g.peers.Mux()); err != nil {
@@ -133,6 +139,9 @@
 	if g.crashDetector != nil {
 		g.crashDetector.canaries.observeView(view)
 	}
+	if g.quotas != nil {
+		g.quotas.observeView()
+	}
 }
 
 func (g *Gateway) newCrossZoneRunner(pool *peer.Pool, members *member.Agent, registry *prometheus.Registry) (*crossZoneRunner, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	homeLegRunner   *homeLegRunner
 	remoteForecasts *remoteForecasts
 	crashDetector   *crashDetector
+	quotas          *quotas
 	// runCtx ends after the planned stop, and links to peers end with it.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -238,6 +239,7 @@
 	}
 	run("registration", g.register)
 	run("load", g.measureLoad)
+	run("limits", g.quotas.run)
 	run("stop", func(runCtx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -297,6 +299,7 @@
 	g.homes.Refresh()
 	g.crashDetector.registry.Reconfigure(next.compiled)
 	g.configureWarming(next)
+	g.quotas.configure(config.Customers)
 	g.timeouts.prune(next.targets)
 	g.remoteForecasts.prune(next.hasService)
 	g.countZones()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,7 +87,7 @@
 		g.logRefusal(q, c, refusal)
 		return refusal
 	}
-	permit, refusal := g.takeQuota(who)
+	permit, refusal := g.takeQuota(ctx, who, q.Forward.AttemptID)
 	if refusal != nil {
 		g.logRefusal(q, c, refusal)
 		return refusal
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -62,7 +62,6 @@
 	answered  bool
 	arrivals  window
 	usedAt    time.Time
-	lastAhead time.Time
 }
 
 type grant struct {
@@ -175,13 +174,18 @@
 	return Permit{}, &Refusal{Ask: true}
 }
 
-// AdmitAnswered decides on a request that has waited for the grantor's answer.
-func (a *Accounts) AdmitAnswered(now time.Time, customer string) (Permit, *Refusal) {
+// AdmitAnswered decides on a request that has waited for the grantor's answer. Unless it is final,
+// it returns a Refusal with Ask again if the answer left room for it.
+func (a *Accounts) AdmitAnswered(now time.Time, customer string, final bool) (Permit, *Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c := a.account(now, customer)
+	permit, ok := a.take(now, customer, c)
+	if !ok && !final && !now.Before(c.roomAt) {
+		return Permit{}, &Refusal{Ask: true}
+	}
 	c.waiting = max(c.waiting-1, 0)
-	if permit, ok := a.take(now, customer, c); ok {
+	if ok {
 		return permit, nil
 	}
 	return Permit{}, a.refuse(now, customer, c)
@@ -314,30 +318,27 @@
 	return &Refusal{RetryAfter: max(retry, time.Millisecond), Until: c.roomAt, Grantor: c.grantor, First: first}
 }
 
-// Asks returns what is to be reported now, without customers whose report is on its way. Each
-// must be answered with Answer or Unanswered.
-func (a *Accounts) Asks(now time.Time) []Ask {
+// Pending returns the customers on which there may be something to report.
+func (a *Accounts) Pending(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sweep(now)
-	var asks []Ask
-	for name, c := range a.pending {
-		if c.asking {
-			continue
-		}
-		if ask, ok := a.ask(now, name, c); ok {
-			asks = append(asks, ask)
-		}
+	names := make([]string, 0, len(a.pending))
+	for name := range a.pending {
+		names = append(names, name)
 	}
-	return asks
+	return names
 }
 
-// AskFor returns what is to be reported on one customer for a request that waits; false if a
-// report is on its way.
+// AskFor returns what is to be reported on one customer now; false if there is nothing or a report
+// is on its way. It must be followed by Answer or Unanswered.
 func (a *Accounts) AskFor(now time.Time, customer string) (Ask, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c := a.accounts[customer]
+	if c == nil {
+		delete(a.pending, customer)
+	}
 	if c == nil || c.asking {
 		return Ask{}, false
 	}
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -62,7 +62,7 @@
 	instance uint64
 
 	mu       sync.Mutex
-	limits   map[string]Limit
+	limits   map[string]Limit // nil before the first configuration
 	buckets  map[string]*bucket
 	choices  []choice // the last is in force
 	lastTick time.Time
@@ -72,7 +72,7 @@
 // NewGrantor returns a grantor that no view has chosen yet. The instance distinguishes starts of
 // hosts.
 func NewGrantor(bounds Bounds, instance uint64) *Grantor {
-	return &Grantor{bounds: bounds, instance: instance, limits: make(map[string]Limit), buckets: make(map[string]*bucket)}
+	return &Grantor{bounds: bounds, instance: instance, buckets: make(map[string]*bucket)}
 }
 
 // Instance identifies this grantor in a Return.
@@ -205,6 +205,9 @@
 func (g *Grantor) serve(now time.Time, ask Ask) Grant {
 	needed, ahead := clampCount(ask.Needed), clampCount(ask.Ahead)
 	limit, limited := g.limits[ask.Customer]
+	if g.limits == nil {
+		return Grant{NotGrantor: true}
+	}
 	if !limited {
 		// The host's configuration is older or newer than this one.
 		return Grant{Count: min(needed+ahead, MaxAhead)}
