--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -423,7 +423,10 @@
 	}
 	c.roomAt = time.Time{}
 	if answer.RoomIn > 0 {
-		c.roomAt = now.Add(max(answer.RoomIn, CallInterval))
+		c.roomAt = now.Add(answer.RoomIn)
+		if ask.Refused > 0 {
+			c.roomAt = now.Add(max(answer.RoomIn, CallInterval))
+		}
 	}
 	if answer.Slots > 0 {
 		c.retryAt, c.spacing, c.slots, c.nextSlot = now.Add(answer.RetryIn), answer.Spacing, answer.Slots, 0
--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -25,7 +25,7 @@
 	// need longer to replace it.
 	maxStall = time.Second
 	// returnHistory is how many peaks of a bucket's level are remembered for returns.
-	returnHistory = 8
+	returnHistory = 24
 )
 
 // Bounds are how far all hosts together may exceed a limit: in any window, the requests that run
@@ -57,7 +57,7 @@
 // depth is the capacity of a customer's bucket. The part of the slack makes up for whole
 // requests that were issued to other hosts and are not used yet.
 func (b Bounds) depth(limit Limit) float64 {
-	return max(limit.Burst+b.Slack/10, 1)
+	return max(limit.Burst*(1+b.Overshoot)+b.Slack/10, 1)
 }
 
 // startAllowance is the level of a bucket whose grantor has just taken over.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -48,14 +48,24 @@
 		b.peaks = b.peaks[:len(b.peaks)-1]
 	}
 	if len(b.peaks) == returnHistory {
-		// Merged with the next one as if its higher level had been reached later: a return is then
-		// worth less, never more.
-		b.peaks[1].level = b.peaks[0].level
-		b.peaks = slices.Delete(b.peaks, 0, 1)
+		b.mergePeaks()
 	}
 	b.peaks = append(b.peaks, p)
 }
 
+// mergePeaks merges the two neighbors that differ least, as if the higher level had been reached
+// later: a return is then worth less, never more.
+func (b *bucket) mergePeaks() {
+	closest := 0
+	for i := 1; i+1 < len(b.peaks); i++ {
+		if b.peaks[i].level-b.peaks[i+1].level < b.peaks[closest].level-b.peaks[closest+1].level {
+			closest = i
+		}
+	}
+	b.peaks[closest+1].level = b.peaks[closest].level
+	b.peaks = slices.Delete(b.peaks, closest, closest+1)
+}
+
 // giveBack returns n requests of a grant that did not run. The level becomes what it would be had
 // they never been issued: nothing is added where the bucket was full meanwhile, since what they
 // left in the bucket would have overflowed. However late a return is, it makes no more room than
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -224,8 +225,7 @@
 	var grant Grant
 	whole := int(max(b.level, 0) + 1e-9)
 	grant.Count = min(needed, whole)
-	// What is asked for ahead may stay unused, so that half is kept for hosts in need.
-	grant.Count += min(ahead, (whole-grant.Count+1)/2, MaxAhead-grant.Count)
+	grant.Count += min(ahead, b.spare(whole-grant.Count, ask.Refused > 0), MaxAhead-grant.Count)
 	if grant.Count > 0 {
 		grant.Seq = b.take(grant.Count)
 		b.recent.add(now, g.bounds.Window, float64(grant.Count))
@@ -237,6 +237,16 @@
 	return grant
 }
 
+// spare is how much of the whole requests left may be issued ahead. They may stay unused, and other
+// hosts would refuse requests meanwhile, so that the lower half of the bucket is kept for requests
+// that wait. A host that refuses requests uses all that it gets.
+func (b *bucket) spare(whole int, refuses bool) int {
+	if refuses {
+		return (whole + 1) / 2
+	}
+	return max(whole-int(math.Ceil(b.depth/2)), 0)
+}
+
 // reserve promises times to come back to the callers that one host refuses.
 func (g *Grantor) reserve(now time.Time, b *bucket, grant *Grant, slots int) {
 	room := now.Add(grant.RoomIn)
