--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -51,17 +51,17 @@
 	returned []Return
 	replaced Return // the last grant that replaced credit
 
-	asking    bool
-	askedAt   time.Time
-	roomAt    time.Time // refuses without asking until then
-	retryAt   time.Time // of the first promised slot
-	spacing   time.Duration
-	slots     int
-	nextSlot  int
-	grantor   ident.HostID // that last answered, or did not
-	answered  bool
-	arrivals  window
-	usedAt    time.Time
+	asking   bool
+	askedAt  time.Time
+	roomAt   time.Time // refuses without asking until then
+	retryAt  time.Time // of the first promised slot
+	spacing  time.Duration
+	slots    int
+	nextSlot int
+	grantor  ident.HostID // that last answered, or did not
+	answered bool
+	arrivals window
+	usedAt   time.Time
 }
 
 type grant struct {
--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -19,8 +19,9 @@
 	// minGrantLifetime lets a grant reach the host that asked for it where no overshoot is
 	// allowed.
 	minGrantLifetime = CallTimeout + 10*time.Millisecond
-	// viewDelay is how long hosts may have different views of which host grants.
-	viewDelay = time.Second
+	// viewDelay is how long hosts may have different views of which host grants: a second until all
+	// have learned that a host is lost, and another one if it was not.
+	viewDelay = 2 * time.Second
 	// maxStall is how long a grantor may have been stopped without losing its place: other hosts
 	// need longer to replace it.
 	maxStall = time.Second
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -16,6 +16,7 @@
 	// promised is up to when the room is promised to refused callers.
 	promised  time.Time
 	inCharge  bool
+	chargedAt time.Time
 	lostAt    time.Time // when another host took over, if not inCharge
 	loweredAt time.Time
 	usedAt    time.Time
@@ -109,12 +110,12 @@
 }
 
 // setLimit applies a changed limit. A higher burst is available at once, unless the limit was
-// lowered within the window.
+// lowered within the window, or another host may have granted the higher burst before this one.
 func (b *bucket) setLimit(now time.Time, limit Limit, bounds Bounds) {
 	b.advance(now)
 	depth := bounds.depth(limit)
 	switch {
-	case depth > b.depth && now.Sub(b.loweredAt) >= bounds.Window:
+	case depth > b.depth && now.Sub(b.loweredAt) >= bounds.Window && now.Sub(b.chargedAt) >= 2*bounds.Window:
 		b.level += depth - b.depth
 	case depth < b.depth || limit.PerSecond < b.limit.PerSecond:
 		b.loweredAt = now
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -129,7 +129,7 @@
 		if now.Sub(b.lostAt) < g.bounds.Window {
 			allowance = min(allowance, b.level)
 		}
-		b.level, b.at = allowance, now.Add(viewDelay)
+		b.level, b.at, b.chargedAt = allowance, now.Add(viewDelay), now
 		b.peaks = nil
 		b.seq++ // earlier grants aren't taken back
 		b.promised = time.Time{}
@@ -171,7 +171,7 @@
 		if !inCharge {
 			return nil
 		}
-		b = &bucket{limit: limit, depth: g.bounds.depth(limit), inCharge: true}
+		b = &bucket{limit: limit, depth: g.bounds.depth(limit), inCharge: true, chargedAt: since}
 		b.level, b.at = g.bounds.startAllowance(limit), since.Add(viewDelay)
 		g.buckets[name] = b
 	}
