--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -25,7 +25,10 @@
 	*fleet
 	limits  []limitChange
 	initial Limit
-	lost    [][]bool // by host: which hosts its view lacks
+	lost    [][]bool      // by host: which hosts its view lacks
+	lostAt  [][]time.Time // by host: when that changed
+	changed []time.Time   // by host: when it began or ceased to be heard
+	heard   []bool
 	due     []dueEvent
 	runs    []time.Time
 }
@@ -48,10 +51,38 @@
 	d.limits = []limitChange{{limit: limit, appliedByHost: make([]time.Time, hosts)}}
 	for range hosts {
 		d.lost = append(d.lost, make([]bool, hosts))
+		d.lostAt = append(d.lostAt, make([]time.Time, hosts))
 	}
+	d.changed, d.heard = make([]time.Time, hosts), make([]bool, hosts)
 	return d
 }
 
+// reconcile bounds how long a view is wrong, whatever was missed.
+func (d *drill) reconcile(now time.Time) {
+	for i, h := range d.hosts {
+		if heard := h.runs() && !h.cut; heard != d.heard[i] {
+			d.heard[i], d.changed[i] = heard, now
+		}
+	}
+	for i := range d.hosts {
+		for j := range d.hosts {
+			if i == j || !d.heard[i] || d.lost[i][j] != d.heard[j] {
+				continue
+			}
+			latest := max(d.lostAt[i][j].UnixNano(), d.changed[i].UnixNano(), d.changed[j].UnixNano())
+			patience := gossipDelay
+			if !d.heard[j] {
+				patience += lossDetection
+			}
+			if now.Sub(time.Unix(0, latest)) >= patience {
+				d.lost[i][j] = !d.heard[j]
+				d.lostAt[i][j] = now
+				d.publish(now, i)
+			}
+		}
+	}
+}
+
 func (d *drill) at(at time.Time, do func(now time.Time)) { d.due = append(d.due, dueEvent{at, do}) }
 
 func (d *drill) within(limit time.Duration) time.Duration {
@@ -65,6 +96,7 @@
 			d.at(now.Add(d.within(gossipDelay)), func(now time.Time) {
 				if still() && d.hosts[j].runs() && !d.hosts[j].cut && d.lost[j][i] != lost {
 					d.lost[j][i] = lost
+				d.lostAt[j][i] = now
 					d.publish(now, j)
 				}
 			})
@@ -117,6 +149,9 @@
 	if d.hosts[i].dead {
 		return
 	}
+	for j := range d.lost[i] {
+		d.lost[i][j] = d.hosts[j].dead // if no other host runs
+	}
 	for j, other := range d.hosts {
 		if j != i && other.runs() && !other.cut {
 			copy(d.lost[i], d.lost[j])
@@ -224,6 +259,7 @@
 			}
 		}
 		d.advance(now)
+		d.reconcile(now)
 		for range poisson(d.random, perSecond*step.Seconds()) {
 			d.request(now, d.random.IntN(d.advised))
 		}
