--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,6 +17,11 @@
 	promised  time.Time
 	inCharge  bool
 	chargedAt time.Time
+	issued    int  // since then
+	continued bool // the bucket of the grantor before
+	// handed is the level of a grantor that has stopped before this one was chosen.
+	handed    float64
+	handedAt  time.Time
 	lostAt    time.Time // when another host took over, if not inCharge
 	loweredAt time.Time
 	usedAt    time.Time
--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -96,7 +96,7 @@
 			d.at(now.Add(d.within(gossipDelay)), func(now time.Time) {
 				if still() && d.hosts[j].runs() && !d.hosts[j].cut && d.lost[j][i] != lost {
 					d.lost[j][i] = lost
-				d.lostAt[j][i] = now
+					d.lostAt[j][i] = now
 					d.publish(now, j)
 				}
 			})
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -62,12 +62,13 @@
 	bounds   Bounds
 	instance uint64
 
-	mu       sync.Mutex
-	limits   map[string]Limit // nil before the first configuration
-	buckets  map[string]*bucket
-	choices  []choice // the last is in force
-	lastTick time.Time
-	sweptAt  time.Time
+	mu        sync.Mutex
+	limits    map[string]Limit // nil before the first configuration
+	buckets   map[string]*bucket
+	choices   []choice // the last is in force
+	lastTick  time.Time
+	stalledAt time.Time
+	sweptAt   time.Time
 }
 
 // NewGrantor returns a grantor that no view has chosen yet. The instance distinguishes starts of
@@ -98,14 +99,18 @@
 
 // SetView is called when a view with other serving hosts is in force; isSelf tells whether it
 // chooses this host for a customer. Nil: this host may not grant, since it may have been replaced
-// without knowing.
-func (g *Grantor) SetView(now time.Time, isSelf func(customer string) bool) {
+// without knowing. It returns what to hand over to the next grantors.
+func (g *Grantor) SetView(now time.Time, isSelf func(customer string) bool) []Handover {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setView(now, isSelf)
+	handovers := g.setView(now, isSelf)
+	if isSelf == nil {
+		return nil
+	}
+	return handovers
 }
 
-func (g *Grantor) setView(now time.Time, isSelf func(customer string) bool) {
+func (g *Grantor) setView(now time.Time, isSelf func(customer string) bool) (handovers []Handover) {
 	if isSelf == nil {
 		isSelf = func(string) bool { return false }
 	}
@@ -114,8 +119,71 @@
 	}
 	g.choices = append(g.choices, choice{isSelf, now})
 	for name, b := range g.buckets {
-		g.charge(now, b, isSelf(name))
+		if inCharge := isSelf(name); inCharge != b.inCharge {
+			g.charge(now, b, inCharge)
+			if !inCharge {
+				handovers = append(handovers, Handover{name, b.level, b.settled(now, g.bounds), b.issued})
+			}
+		}
 	}
+	return handovers
+}
+
+// Handover is what a grantor tells the next one when it has stopped to grant for a customer.
+type Handover struct {
+	Customer string
+	Level    float64 // of the bucket; counts only if Settled
+	// Settled is set if no other host can have granted lately.
+	Settled bool
+	Issued  int // since this grantor took over
+}
+
+// maxHandovers bounds the customers of whom this host learns that it will be the grantor.
+const maxHandovers = 1 << 17
+
+// Receive applies what other grantors hand over. The bucket goes on where the one before stopped,
+// without the wait of a new grantor. If both have granted for a while, what the other one issued
+// is taken from the bucket.
+func (g *Grantor) Receive(now time.Time, handovers []Handover) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tick(now)
+	if now.Sub(g.stalledAt) < viewDelay+maxStall {
+		return // these may be from before the stall
+	}
+	for _, h := range handovers {
+		limit, limited := g.limits[h.Customer]
+		if !limited || len(g.buckets) >= maxHandovers {
+			continue
+		}
+		b := g.bucket(now, h.Customer, limit)
+		switch {
+		case b == nil && h.Settled:
+			b = g.buckets[h.Customer]
+			if b == nil {
+				b = &bucket{limit: limit, depth: g.bounds.depth(limit), at: now, usedAt: now}
+				g.buckets[h.Customer] = b
+			}
+			b.handedAt, b.handed = now, h.Level
+		case b == nil:
+		case !h.Settled:
+			b.level = max(b.level-float64(max(h.Issued, 0)), -b.depth)
+		case !b.settled(now, g.bounds) && now.Sub(b.chargedAt) < 2*viewDelay:
+			b.takeOver(now, h.Level)
+		}
+	}
+}
+
+// takeOver continues the bucket of the grantor before.
+func (b *bucket) takeOver(now time.Time, level float64) {
+	b.level, b.at = min(level, b.depth)-float64(b.issued), now
+	b.continued = true
+	b.promised = time.Time{}
+}
+
+// settled reports whether no other host can have granted within the window.
+func (b *bucket) settled(now time.Time, bounds Bounds) bool {
+	return b.continued || now.Sub(b.chargedAt) >= bounds.Window+viewDelay
 }
 
 // charge makes this host the customer's grantor, or ends that.
@@ -133,6 +201,11 @@
 		b.peaks = nil
 		b.seq++ // earlier grants aren't taken back
 		b.promised = time.Time{}
+		b.issued, b.continued = 0, false
+		if now.Sub(b.handedAt) < 2*viewDelay {
+			b.takeOver(now, b.handed)
+		}
+		b.handedAt = time.Time{}
 	}
 	b.inCharge = inCharge
 }
@@ -159,6 +232,7 @@
 		inForce := g.choices[len(g.choices)-1].isSelf
 		g.setView(g.lastTick, nil)
 		g.setView(now, inForce)
+		g.stalledAt = now
 	}
 	g.lastTick = now
 }
@@ -228,6 +302,7 @@
 	grant.Count += min(ahead, b.spare(whole-grant.Count, ask.Refused > 0), MaxAhead-grant.Count)
 	if grant.Count > 0 {
 		grant.Seq = b.take(grant.Count)
+		b.issued += grant.Count
 		b.recent.add(now, g.bounds.Window, float64(grant.Count))
 	}
 	if grant.Count < needed || ask.Refused > 0 && b.level < 1 {
