--- a/gateway/quota_messages.go
+++ b/gateway/quota_messages.go
@@ -63,6 +63,21 @@
 	return m.GetGrantor(), grants, nil
 }
 
+func encodeHandovers(handovers []quota.Handover) *quotapb.HandOverRequest {
+	m := &quotapb.HandOverRequest{}
+	for _, h := range handovers {
+		m.Handovers = append(m.Handovers, &quotapb.Handover{Customer: h.Customer, Level: h.Level, Settled: h.Settled, Issued: count(h.Issued)})
+	}
+	return m
+}
+
+func decodeHandovers(m *quotapb.HandOverRequest) (handovers []quota.Handover) {
+	for _, h := range m.GetHandovers() {
+		handovers = append(handovers, quota.Handover{Customer: h.GetCustomer(), Level: h.GetLevel(), Settled: h.GetSettled(), Issued: int(h.GetIssued())})
+	}
+	return handovers
+}
+
 func count(n int) uint32 { return uint32(min(max(n, 0), math.MaxInt32)) }
 
 // ceilMilliseconds rounds up, so that room that is promised is there.
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -27,6 +27,8 @@
 	customerOverLimit = result.CallerOverShare
 	// quotaTick is how often the grantor notices that the process runs.
 	quotaTick = 250 * time.Millisecond
+	// handOverTimeout bounds the call that hands limits over: a later one is of no use.
+	handOverTimeout = 500 * time.Millisecond
 	// maxGrantorSilence is how long a host that hears no peer grants: others need longer to
 	// replace it.
 	maxGrantorSilence = 1500 * time.Millisecond
@@ -187,20 +189,54 @@
 		q.grantor.SetView(since, nil)
 		return
 	}
-	q.grantor.SetView(since, func(name string) bool {
+	handovers := q.grantor.SetView(since, func(name string) bool {
 		chosen, ok := view.Choose(grantorKey(name))
 		return ok && chosen.ID == q.self
 	})
+	q.handOver(view, handovers)
 }
 
-// maxLoggedGrantors bounds the log lines on one change of the view.
-const maxLoggedGrantors = 8
+// handOver tells the next grantors that this host has stopped to grant.
+func (q *quotas) handOver(view *member.View, handovers []quota.Handover) {
+	byGrantor := make(map[string][]quota.Handover) // by address
+	for _, h := range handovers {
+		if next, ok := view.Choose(grantorKey(h.Customer)); ok {
+			byGrantor[next.PeerAddress] = append(byGrantor[next.PeerAddress], h)
+		}
+	}
+	for address, handovers := range byGrantor {
+		go func() {
+			ctx, cancel := context.WithTimeout(q.ctx, handOverTimeout)
+			defer cancel()
+			_, err := quotapb.NewDRPCQuotasClient(q.pool.Conn(ctx, address)).HandOver(ctx, encodeHandovers(handovers))
+			if err != nil {
+				q.log.Warn("limits were not handed over; the next grantor starts with a small allowance", zap.String("address", address), zap.Int("customers", len(handovers)), observe.ErrorText(err))
+			}
+		}()
+	}
+}
+
+// HandOver implements quotapb.DRPCQuotasServer.
+func (q *quotas) HandOver(_ context.Context, m *quotapb.HandOverRequest) (*quotapb.HandOverReply, error) {
+	q.grantor.Receive(q.now(), decodeHandovers(m))
+	return &quotapb.HandOverReply{}, nil
+}
+
+const (
+	// maxLoggedGrantors bounds the log lines on one change of the view.
+	maxLoggedGrantors = 8
+	// maxComparedGrantors bounds the customers whose grantors are compared for the log.
+	maxComparedGrantors = 256
+)
 
 // logGrantorChanges logs which customers that this host has lately asked for have another
 // grantor. q.mu is held.
 func (q *quotas) logGrantorChanges(view *member.View) {
-	logged, changed := 0, 0
+	logged, changed, compared := 0, 0, 0
 	for name, previous := range q.grantors {
+		if compared++; compared > maxComparedGrantors {
+			break
+		}
 		next, _ := view.Choose(grantorKey(name))
 		if next.ID == previous.ID && next.Incarnation == previous.Incarnation {
 			continue
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -153,7 +153,7 @@
 	}
 	for _, h := range handovers {
 		limit, limited := g.limits[h.Customer]
-		if !limited || len(g.buckets) >= maxHandovers {
+		if !limited || len(g.buckets) >= maxHandovers || math.IsNaN(h.Level) {
 			continue
 		}
 		b := g.bucket(now, h.Customer, limit)
