--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -310,7 +310,7 @@
 	if refusal.Until.IsZero() {
 		q.metrics.request(who.Name, quotaUnanswered)
 		q.logRefusal(request, who, refusal, "the grantor of a customer's limit did not answer")
-		return quotaPermit{}, newRefusal(result.NotReady, "the customer's limit can't be checked: its grantor did not answer", refusal.RetryAfter)
+		return quotaPermit{}, newRefusal(result.HomeUnavailable, "the customer's limit can't be checked: its grantor did not answer", refusal.RetryAfter)
 	}
 	q.metrics.request(who.Name, quotaRefused)
 	q.logRefusal(request, who, refusal, "customer is over its limit")
