--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -27,6 +27,8 @@
 	customerOverLimit = result.CallerOverShare
 	// quotaTick is how often the grantor notices that the process runs.
 	quotaTick = 250 * time.Millisecond
+	// creditInterval is how often a host checks whether it may use credit.
+	creditInterval = time.Second
 	// handOverTimeout bounds the call that hands limits over: a later one is of no use.
 	handOverTimeout = 500 * time.Millisecond
 	// maxGrantorSilence is how long a host that hears no peer grants: others need longer to
@@ -71,9 +73,14 @@
 	limits      atomic.Pointer[map[string]quota.Limit]
 	since       time.Time // of the first configuration; used by configure
 	wake        chan struct{}
+	creditAt    time.Time // used by tick
 
 	mu       sync.Mutex
+	lastView *member.View           // that serving is of
 	serving  uint64                 // digest of the serving hosts
+	changed  time.Time              // when that changed, until the first configuration
+	observed bool                   // the grantor knows the view
+	failing  map[ident.HostID]bool  // grantors that did not answer last
 	mayGrant bool                   // what the grantor was last told
 	grantors map[string]member.Host // by customer, of the current serving hosts
 	answered map[string]chan struct{}
@@ -91,7 +98,7 @@
 		accounts: quota.NewAccounts(bounds, rand.Float64), view: members.View, peerContact: members.LastPeerContact,
 		isAlone:     func(*member.View) bool { return members.Joined() || !g.hasOtherSeeds() },
 		creditHosts: g.advisedAnywhere, pool: pool, ctx: g.runCtx, now: g.options.Now, log: g.log, metrics: metrics,
-		wake: make(chan struct{}, 1), answered: make(map[string]chan struct{}), sentAt: make(map[ident.HostID]time.Time),
+		wake: make(chan struct{}, 1), answered: make(map[string]chan struct{}), sentAt: make(map[ident.HostID]time.Time), failing: make(map[ident.HostID]bool),
 	}
 	metrics.uses = func() []quota.Use { return q.grantor.Uses(q.now(), metrics.named()) }
 	return q
@@ -144,9 +151,13 @@
 		before = *previous
 	}
 	now := q.now()
-	if q.since.IsZero() {
+	q.mu.Lock()
+	if q.since.IsZero() && q.noteView(q.view()) || q.since.IsZero() && q.changed.IsZero() {
 		q.since = now
+	} else if q.since.IsZero() {
+		q.since = q.changed
 	}
+	q.mu.Unlock()
 	q.grantor.SetLimits(now, limits)
 	if len(before) == 0 && len(limits) == 0 {
 		return
@@ -154,37 +165,57 @@
 	q.metrics.nameLargest(limits)
 	q.accounts.Reconfigure(before, limits)
 	if len(before) == 0 {
-		now = q.since // nobody has granted meanwhile, since no customer had a limit
+		now = q.since // nobody can have granted meanwhile that this host does not know of
 	}
 	q.observe(now)
 	q.wakeUp()
 }
 
-// observeView applies the newest view of the membership.
+// observeView applies the newest view of the membership. Until the first configuration it only
+// notes changes, so that the wait of a new grantor begins with the start of a host.
 func (q *quotas) observeView() {
-	if q.enabled() {
+	switch {
+	case q.enabled():
 		q.observe(q.now())
+	case q.limits.Load() == nil:
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.noteView(q.view())
 	}
 }
 
+// noteView reports whether other hosts serve than in the last view. q.mu is held.
+func (q *quotas) noteView(view *member.View) (changed bool) {
+	if view == q.lastView {
+		return false
+	}
+	q.lastView = view
+	digest := servingDigest(view)
+	if digest == q.serving {
+		return false
+	}
+	q.serving, q.changed = digest, q.now()
+	return true
+}
+
 // observe applies the newest view, which is in force since then. The view is read under the lock,
 // so that an older one never replaces a newer one.
 func (q *quotas) observe(since time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	view := q.view()
-	digest, mayGrant := servingDigest(view), q.canGrant(view)
-	if digest == q.serving && mayGrant == q.mayGrant {
+	changed, mayGrant := q.noteView(view), q.canGrant(view)
+	if q.observed && !changed && mayGrant == q.mayGrant {
 		return
 	}
-	if digest != q.serving {
+	if changed || !q.observed {
 		q.logGrantorChanges(view)
 		q.grantors = make(map[string]member.Host)
 	}
 	if mayGrant != q.mayGrant {
 		q.log.Info("grants of limited requests changed", zap.Bool("may_grant", mayGrant), zap.Bool("minority", view.Minority), zap.Bool("replaced", view.Replaced))
 	}
-	q.serving, q.mayGrant = digest, mayGrant
+	q.observed, q.mayGrant = true, mayGrant
 	if !mayGrant {
 		q.grantor.SetView(since, nil)
 		return
@@ -407,17 +438,37 @@
 	now := q.now()
 	if err != nil {
 		q.metrics.calls.WithLabelValues(callFailed).Inc()
-		q.log.Warn("the grantor of limits did not answer", zap.String("grantor", string(host.ID)), zap.Int("customers", len(asks)), observe.ErrorText(err))
+		if q.noteAnswer(host.ID, false) {
+			q.log.Warn("the grantor of limits did not answer", zap.String("grantor", string(host.ID)), zap.Int("customers", len(asks)), observe.ErrorText(err))
+		}
 		for _, ask := range asks {
 			q.accounts.Unanswered(now, host.ID, ask)
 		}
 		return
 	}
+	if q.noteAnswer(host.ID, true) {
+		q.log.Info("the grantor of limits answers again", zap.String("grantor", string(host.ID)))
+	}
 	for i, ask := range asks {
 		q.accounts.Answer(now, sent, host.ID, instance, ask, grants[i])
 	}
 }
 
+// noteAnswer reports whether a grantor has begun or ceased to answer.
+func (q *quotas) noteAnswer(host ident.HostID, answers bool) (changed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.failing[host] == !answers {
+		return false
+	}
+	if answers {
+		delete(q.failing, host)
+	} else {
+		q.failing[host] = true
+	}
+	return true
+}
+
 // ask carries asks to their grantor.
 func (q *quotas) ask(host member.Host, asks []quota.Ask, kind string) (instance uint64, grants []quota.Grant, err error) {
 	if host.ID == q.self {
@@ -487,8 +538,11 @@
 	}
 	q.grantor.Tick(now)
 	q.observeView()
-	hosts := q.creditHosts()
-	q.accounts.SetCredit(now, hosts[q.self], len(hosts))
+	if now.Sub(q.creditAt) >= creditInterval {
+		q.creditAt = now
+		hosts := q.creditHosts()
+		q.accounts.SetCredit(now, hosts[q.self], len(hosts))
+	}
 }
 
 // report sends what is due and reports whether more may become due without a request.
