--- a/member/broadcast.go
+++ b/member/broadcast.go
@@ -46,6 +46,7 @@
 	host          *record
 	backend       *memberpb.BackendNews
 	request       *memberpb.SuspectRequestNews
+	receivedAt    time.Time // of backend or request; their ages on the wire grow from here
 	transmissions int
 	superseded    bool // replaced by a newer update
 }
@@ -148,15 +149,34 @@
 		gossip.Hosts = append(gossip.Hosts, entry)
 		size = proto.Size(entry)
 	case backendUpdate:
-		gossip.Backends = append(gossip.Backends, b.backend)
-		size = proto.Size(b.backend)
+		entry := agedBackend(b.backend, now.Sub(b.receivedAt))
+		gossip.Backends = append(gossip.Backends, entry)
+		size = proto.Size(entry)
 	case requestUpdate:
-		gossip.Suspects = append(gossip.Suspects, b.request)
-		size = proto.Size(b.request)
+		entry := agedRequest(b.request, now.Sub(b.receivedAt))
+		gossip.Suspects = append(gossip.Suspects, entry)
+		size = proto.Size(entry)
 	}
 	return size + fieldOverhead
 }
 
+// agedBackend is the update as sent after it was held for a time.
+func agedBackend(update *memberpb.BackendNews, held time.Duration) *memberpb.BackendNews {
+	return &memberpb.BackendNews{
+		Server: update.Server, Incarnation: update.Incarnation,
+		HeldMs: update.HeldMs + uint32(held.Milliseconds()),
+	}
+}
+
+// agedRequest is the update as sent after it was held for a time.
+func agedRequest(update *memberpb.SuspectRequestNews, held time.Duration) *memberpb.SuspectRequestNews {
+	ms := uint32(held.Milliseconds())
+	return &memberpb.SuspectRequestNews{
+		Fingerprint: update.Fingerprint, Server: update.Server, ServerIncarnation: update.ServerIncarnation,
+		InFlight: update.InFlight, Canary: update.Canary, AgeMs: update.AgeMs + ms, HeldMs: update.HeldMs + ms,
+	}
+}
+
 func (b *broadcast) removeFrom(gossip *memberpb.News) {
 	switch b.key.kind {
 	case hostUpdate:
--- a/member/calls.go
+++ b/member/calls.go
@@ -47,6 +47,11 @@
 		reply, err := client.Sync(ctx, call.Sync)
 		a.metrics.received(reply)
 		a.post(func(now time.Time, m *Membership) { m.SyncDone(now, replyOrNil(err, reply)) })
+	case call.Recent != nil:
+		a.metrics.sent(call.Recent)
+		reply, err := client.Recent(ctx, call.Recent)
+		a.metrics.received(reply)
+		a.post(func(now time.Time, m *Membership) { m.RecentDone(now, call.Recent, replyOrNil(err, reply)) })
 	}
 }
 
@@ -106,6 +111,13 @@
 	})
 }
 
+// Recent answers a peer's comparison of recent updates.
+func (s *service) Recent(ctx context.Context, request *memberpb.RecentRequest) (*memberpb.RecentReply, error) {
+	return handle(ctx, s.agent, request, func(now time.Time, m *Membership, q *memberpb.RecentRequest) *memberpb.RecentReply {
+		return m.ServeRecent(now, q)
+	})
+}
+
 // ProbeFor probes a target on behalf of a peer. It fails when too many such
 // probes are in flight.
 func (s *service) ProbeFor(ctx context.Context, request *memberpb.ProbeForRequest) (*memberpb.ProbeForReply, error) {
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// dedupTTL and dedupLimit bound the deduplication of updates about backend
-	// servers and requests. A later duplicate is gossiped once more.
-	dedupTTL   = 10 * time.Minute
+	// recentAge is the age up to which updates about backend servers and requests are
+	// sent to hosts that lack them: as long as a suspicion of a request lasts.
+	recentAge = 30 * time.Minute
+	// dedupTTL and dedupLimit bound the deduplication of these updates. It outlasts
+	// recentAge by more than an update takes to reach every host, so that no host takes
+	// from another what it has just dropped itself.
+	dedupTTL   = recentAge + 2*time.Minute
 	dedupLimit = 4096
 	// maxRecentLoads bounds the hosts whose load readings are passed on.
 	maxRecentLoads = 16
@@ -128,7 +132,7 @@
 // AnnounceBackend gossips that an incarnation of a backend server is leaving.
 func (m *Membership) AnnounceBackend(now time.Time, update BackendUpdate) {
 	m.detectPause(now)
-	m.enqueueBackend(now, &memberpb.BackendNews{Server: update.Server, Incarnation: update.Incarnation})
+	m.enqueueBackend(now, &memberpb.BackendNews{Server: update.Server, Incarnation: update.Incarnation}, true)
 }
 
 // AnnounceSuspectRequest gossips a suspected request.
@@ -141,29 +145,39 @@
 		InFlight:          uint32(update.InFlight),
 		Canary:            update.Canary,
 		AgeMs:             uint32(update.Age.Milliseconds()),
-	})
+	}, true)
 }
 
-func (m *Membership) enqueueBackend(now time.Time, update *memberpb.BackendNews) bool {
+// enqueueBackend records an update and, if it is new here and gossip is set, gossips it.
+func (m *Membership) enqueueBackend(now time.Time, update *memberpb.BackendNews, gossip bool) bool {
 	key := updateKey{kind: backendUpdate, name: update.Server, incarnation: update.Incarnation}
-	if !m.seenBackends.add(now, key, update) {
+	announcedAt := now.Add(-time.Duration(update.HeldMs) * time.Millisecond)
+	if !m.seenBackends.add(now, announcedAt, key, update) {
 		return false
 	}
-	b := &broadcast{key: key, backend: update}
-	m.broadcasts.put(b)
-	m.pushSoon(now, b)
+	if gossip {
+		m.gossipSoon(now, &broadcast{key: key, backend: update, receivedAt: now})
+	}
 	return true
 }
 
-func (m *Membership) enqueueRequest(now time.Time, update *memberpb.SuspectRequestNews) bool {
+// enqueueRequest records an update and, if it is new here and gossip is set, gossips it.
+func (m *Membership) enqueueRequest(now time.Time, update *memberpb.SuspectRequestNews, gossip bool) bool {
 	key := updateKey{kind: requestUpdate, name: update.Server, incarnation: update.ServerIncarnation, request: update.Fingerprint}
-	if !m.seenRequests.add(now, key, update) {
+	announcedAt := now.Add(-time.Duration(update.HeldMs) * time.Millisecond)
+	if !m.seenRequests.add(now, announcedAt, key, update) {
 		return false
 	}
-	b := &broadcast{key: key, request: update}
+	if gossip {
+		m.gossipSoon(now, &broadcast{key: key, request: update, receivedAt: now})
+	}
+	return true
+}
+
+// gossipSoon queues an update for the next messages and has it pushed.
+func (m *Membership) gossipSoon(now time.Time, b *broadcast) {
 	m.broadcasts.put(b)
 	m.pushSoon(now, b)
-	return true
 }
 
 // enqueueHost queues an update about a host for the next messages.
@@ -310,17 +324,27 @@
 	for _, load := range gossip.GetLoads() {
 		m.applyLoad(load)
 	}
-	for _, backend := range gossip.GetBackends() {
-		if m.enqueueBackend(now, backend) {
+	m.mergeRecent(now, gossip, true)
+	m.applyConfig(sender, gossip.GetConfig())
+}
+
+// mergeRecent applies the updates that are announced once, and gossips those that are
+// new here if told to. It reports whether any is new.
+func (m *Membership) mergeRecent(now time.Time, news *memberpb.News, gossip bool) bool {
+	isNew := false
+	for _, backend := range news.GetBackends() {
+		if m.enqueueBackend(now, backend, gossip) {
+			isNew = true
 			m.received.Backends = append(m.received.Backends, BackendUpdate{backend.Server, backend.Incarnation})
 		}
 	}
-	for _, request := range gossip.GetSuspects() {
-		if m.enqueueRequest(now, request) {
+	for _, request := range news.GetSuspects() {
+		if m.enqueueRequest(now, request, gossip) {
+			isNew = true
 			m.received.Suspects = append(m.received.Suspects, suspectFromWire(request))
 		}
 	}
-	m.applyConfig(sender, gossip.GetConfig())
+	return isNew
 }
 
 func suspectFromWire(update *memberpb.SuspectRequestNews) SuspectRequestUpdate {
--- a/member/membership.go
+++ b/member/membership.go
@@ -27,6 +27,7 @@
 
 	joined   bool // a peer has sent its complete view
 	joining  joinState
+	recent   recentState
 	departed bool // this host has announced StateGone
 	replaced bool // another process runs under this ID
 
--- a/member/probe.go
+++ b/member/probe.go
@@ -16,6 +16,7 @@
 	ProbeFor *memberpb.ProbeForRequest
 	Push     *memberpb.PushRequest // has no Done method
 	Sync     *memberpb.SyncRequest
+	Recent   *memberpb.RecentRequest
 }
 
 const (
@@ -67,6 +68,7 @@
 	if m.joining.resyncDue(now, len(m.records)) {
 		calls = m.syncFromSeeds(calls)
 	}
+	calls = m.compareRecentIfDue(now, calls)
 	if !now.Before(m.nextMaintenanceAt) {
 		m.nextMaintenanceAt = now.Add(maintenanceInterval)
 		m.maintain(now)
@@ -88,6 +90,9 @@
 	include(m.pushAt)
 	include(m.nextReconnectAt)
 	include(m.joining.recheckAt)
+	if m.joined {
+		include(m.recent.nextAt)
+	}
 	include(m.nextMaintenanceAt)
 	for _, p := range m.probes {
 		include(p.indirectAt)
--- a/member/serve.go
+++ b/member/serve.go
@@ -98,8 +98,7 @@
 	for _, r := range m.sorted {
 		gossip.Hosts = append(gossip.Hosts, r.fullUpdate())
 	}
-	m.seenBackends.each(func(backend *memberpb.BackendNews) { gossip.Backends = append(gossip.Backends, backend) })
-	m.seenRequests.each(func(suspect *memberpb.SuspectRequestNews) { gossip.Suspects = append(gossip.Suspects, suspect) })
+	m.eachRecent(now, func(_ uint64, update recentUpdate) { update.addTo(gossip) })
 	return &memberpb.SyncReply{Sender: m.self.fullUpdate(), News: gossip}
 }
 
@@ -113,6 +112,7 @@
 	m.merge(now, reply.Sender, reply.News)
 	if !m.joined {
 		m.joining.begin(now, len(m.records))
+		m.recent.begin(now)
 	}
 	m.joined = true
 	m.fillNeighbors()
