--- a/member/recent.go
+++ b/member/recent.go
@@ -35,9 +35,10 @@
 	recentBuckets = 64
 	// recentReserve is the part of the gossip budget that replies leave to new updates.
 	recentReserve = gossipBurstBytes / 2
-	// minRecentBytes is available to each reply even when the budget is spent, as after
-	// a restart of a large fleet, when the news of hosts takes all of it.
-	minRecentBytes = 512
+	// recentBytesPerSecond and recentBurstBytes are for replies alone: after a restart of
+	// a large fleet the news of hosts takes the whole gossip budget.
+	recentBytesPerSecond = 64
+	recentBurstBytes     = 32 << 10
 )
 
 // recentState schedules the comparisons of one host.
@@ -48,6 +49,20 @@
 	agreedAt  time.Time
 	fruitless int       // requests for what differs in a row that brought nothing new
 	waitUntil time.Time // no further such request before
+
+	tokens     float64 // bytes for replies beyond the gossip budget
+	refilledAt time.Time
+}
+
+// available refills the tokens and returns them.
+func (r *recentState) available(now time.Time) int {
+	if r.refilledAt.IsZero() {
+		r.tokens = recentBurstBytes
+	} else {
+		r.tokens = min(recentBurstBytes, r.tokens+max(0, now.Sub(r.refilledAt).Seconds())*recentBytesPerSecond)
+	}
+	r.refilledAt = now
+	return int(r.tokens)
 }
 
 // noteResult delays the next request for what differs after one that brought nothing new.
@@ -217,16 +232,21 @@
 		}
 	})
 	news := &memberpb.News{}
-	budget := max(min(m.broadcasts.available(now), int(m.broadcasts.tokens)-recentReserve), minRecentBytes)
+	reserved := m.recent.available(now)
+	shared := max(0, min(m.broadcasts.available(now), int(m.broadcasts.tokens)-recentReserve))
+	budget := min(maxGossipBytes, reserved+shared)
+	spent := 0
 	for _, i := range m.rng.Perm(len(updates)) {
 		size := updates[i].size()
 		if size > budget {
 			break
 		}
 		budget -= size
-		m.broadcasts.spend(size)
+		spent += size
 		updates[i].addTo(news)
 	}
+	m.broadcasts.spend(min(spent, shared))
+	m.recent.tokens -= float64(spent - min(spent, shared))
 	return news
 }
 
