--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -24,7 +24,7 @@
 
 const (
 	// customerOverLimit is the result of a request over its customer's limit.
-	customerOverLimit = result.CallerOverShare
+	customerOverLimit = result.CustomerOverLimit
 	// quotaTick is how often the grantor notices that the process runs.
 	quotaTick = 250 * time.Millisecond
 	// creditInterval is how often a host checks whether it may use credit.
