--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -65,15 +65,17 @@
 	isAlone     func(*member.View) bool
 	peerContact func() time.Time
 	creditHosts func() map[ident.HostID]bool
-	pool        *peer.Pool
-	ctx         context.Context // ends with the host
-	now         func() time.Time
-	log         *zap.Logger
-	metrics     *quotaMetrics
-	limits      atomic.Pointer[map[string]quota.Limit]
-	since       time.Time // of the first configuration; used by configure
-	wake        chan struct{}
-	creditAt    time.Time // used by tick
+	// reportUnreachable lets the membership check a grantor that does not answer.
+	reportUnreachable func(ident.HostID)
+	pool              *peer.Pool
+	ctx               context.Context // ends with the host
+	now               func() time.Time
+	log               *zap.Logger
+	metrics           *quotaMetrics
+	limits            atomic.Pointer[map[string]quota.Limit]
+	since             time.Time // of the first configuration; used by configure
+	wake              chan struct{}
+	creditAt          time.Time // used by tick
 
 	mu       sync.Mutex
 	lastView *member.View           // that serving is of
@@ -97,7 +99,7 @@
 		self: ident.HostID(g.options.Name), grantor: quota.NewGrantor(bounds, rand.Uint64()|1),
 		accounts: quota.NewAccounts(bounds, rand.Float64), view: members.View, peerContact: members.LastPeerContact,
 		isAlone:     func(*member.View) bool { return members.Joined() || !g.hasOtherSeeds() },
-		creditHosts: g.advisedAnywhere, pool: pool, ctx: g.runCtx, now: g.options.Now, log: g.log, metrics: metrics,
+		creditHosts: g.advisedAnywhere, reportUnreachable: members.ReportUnreachable, pool: pool, ctx: g.runCtx, now: g.options.Now, log: g.log, metrics: metrics,
 		wake: make(chan struct{}, 1), answered: make(map[string]chan struct{}), sentAt: make(map[ident.HostID]time.Time), failing: make(map[ident.HostID]bool),
 	}
 	metrics.uses = func() []quota.Use { return q.grantor.Uses(q.now(), metrics.named()) }
@@ -439,6 +441,7 @@
 	if err != nil {
 		q.metrics.calls.WithLabelValues(callFailed).Inc()
 		if q.noteAnswer(host.ID, false) {
+			q.reportUnreachable(host.ID)
 			q.log.Warn("the grantor of limits did not answer", zap.String("grantor", string(host.ID)), zap.Int("customers", len(asks)), observe.ErrorText(err))
 		}
 		for _, ask := range asks {
--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -302,7 +302,7 @@
 	first := c.nextSlot == 0
 	c.refused++
 	a.pending[customer] = c
-	if !c.answered {
+	if !c.answered || !now.Before(c.roomAt) { // a waiting request has not been answered in time
 		c.nextSlot++
 		return &Refusal{RetryAfter: unansweredDelay + time.Duration(a.jitter()*float64(unansweredDelay)), Grantor: c.grantor, First: first}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -254,3 +254,51 @@
 	runtime.KeepAlive(g)
 	runtime.KeepAlive(a)
 }
+
+// Guards against a request that is told that its customer is over the limit although the grantor
+// has not answered in time.
+func TestRequestThatWaitedInVainIsNotOverTheLimit(t *testing.T) {
+	is := is.New(t)
+	a := NewAccounts(specified, func() float64 { return 0 })
+	now := epoch
+	_, refusal := a.Admit(now, testCustomer)
+	is.True(refusal.Ask)
+	ask, ok := a.AskFor(now, testCustomer)
+	is.True(ok)
+	a.Answer(now, now, "host", 1, ask, Grant{RoomIn: 10 * time.Millisecond, RetryIn: 10 * time.Millisecond, Spacing: time.Second, Slots: 1})
+	_, refusal = a.AdmitAnswered(now, testCustomer, false)
+	is.True(!refusal.Until.IsZero()) // over the limit
+	now = now.Add(time.Second)
+	_, refusal = a.Admit(now, testCustomer)
+	is.True(refusal.Ask)
+	now = now.Add(CallTimeout)
+	_, refusal = a.AdmitAnswered(now, testCustomer, true)
+	is.True(refusal.Until.IsZero() && !refusal.Ask)
+	is.True(refusal.RetryAfter > 0 && refusal.RetryAfter <= time.Second)
+}
+
+// Guards against credit beyond the specified slack, at hosts that callers aren't directed to, and
+// right after a start.
+func TestCreditOfAllHostsIsHalfOfTheSlack(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{1, 3, 8, 10, 11, 66} {
+		credit := 0
+		for range hosts {
+			a := NewAccounts(specified, rand.Float64)
+			a.SetCredit(epoch, true, hosts)
+			for _, tooEarly := range []time.Duration{0, specified.Window} {
+				_, refusal := a.Admit(epoch.Add(tooEarly), "early")
+				is.True(refusal != nil)
+			}
+			for now := epoch.Add(time.Minute); ; credit++ {
+				if _, refusal := a.Admit(now, testCustomer); refusal != nil {
+					break
+				}
+			}
+			a.SetCredit(epoch.Add(time.Minute), false, hosts)
+			_, refusal := a.Admit(epoch.Add(2*time.Minute), "other")
+			is.True(refusal != nil)
+		}
+		is.True(float64(credit) <= specified.Slack/2)
+	}
+}
