--- a/gateway/quotas_test.go
+++ b/gateway/quotas_test.go
@@ -312,3 +312,35 @@
 	b.ReportMetric(float64(proto.Size(reply)), "B/reply")
 	b.ReportMetric(float64(callBytes(b)), "B/call-with-framing")
 }
+
+// Guards against a planned change of the grantor after which a customer has lost its burst: the
+// next grantor goes on with the bucket.
+func TestNextGrantorGoesOnWithTheBucket(t *testing.T) {
+	is := is.New(t)
+	f := newQuotaFleet(t, "a", "b", "c")
+	f.configure(customer.Account{Customer: *limited(1, 50)})
+	f.pass(time.Minute)
+	first, _ := f.view.Choose(grantorKey("acme"))
+	byID := make(map[ident.HostID]*quotas)
+	for _, q := range f.hosts {
+		byID[q.self] = q
+		q.tick()
+	}
+	is.True(byID[first.ID].serve([]quota.Ask{{Customer: "acme", Needed: 1}})[0].Count == 1)
+	next := &member.View{Hosts: append([]member.Host(nil), f.view.Hosts...)}
+	for i := range next.Hosts {
+		if next.Hosts[i].ID == first.ID {
+			next.Hosts[i].State = member.StateLeaving
+		}
+	}
+	f.view = next
+	for _, q := range f.hosts {
+		q.observeView()
+	}
+	is.True(byID[first.ID].serve([]quota.Ask{{Customer: "acme", Needed: 1}})[0].NotGrantor)
+	second, _ := next.Choose(grantorKey("acme"))
+	for issued := 0; issued < 45; { // more than a new grantor has; the handover arrives soon
+		issued += byID[second.ID].serve([]quota.Ask{{Customer: "acme", Needed: 45}})[0].Count
+		time.Sleep(time.Millisecond)
+	}
+}
