--- a/admit/admit.go
+++ b/admit/admit.go
@@ -30,6 +30,11 @@
 	Weight   float64 // of the caller against the others of its class
 	Class    int     // position in the bundle's classes
 	Deadline time.Time
+	// Target is when the answer loses most of its value. Requests with a target are
+	// bounded by the latency limit of their class instead of by their wait.
+	Target time.Time
+	// Priority is that of the class; 0 is the most urgent.
+	Priority int
 	Bytes    int // of the request's body
 	// Services has one entry for each leg, from the pinned snapshot.
 	Services []string
@@ -55,14 +60,25 @@
 	Answered bool
 	// Abandoned: the caller went away, so the request says nothing about load.
 	Abandoned bool
-	Legs      []LegTiming
+	// NotRun: it was refused after its admission, before it used anything.
+	NotRun bool
+	Legs   []LegTiming
+	// QueueTime and LegTime are the medians of the legs' waits for a slot and of their
+	// latencies, for a request with a target instead of Legs: a few slow or lost services
+	// don't change them. QueueTime is negative if it is not known of most.
+	QueueTime, LegTime time.Duration
+	// ProcessorDelay is how long work waited for this host's processor lately.
+	ProcessorDelay time.Duration
 }
 
 // Permit is the permission of one admitted request to run.
 type Permit struct {
 	class    *class
+	caller   *caller
 	admitted time.Time
 	deadline time.Time
+	target   time.Time
+	inFlight int // of the class at its admission, itself included
 	bytes    int
 	done     bool
 }
@@ -114,6 +130,7 @@
 	}
 	c.control(now)
 	cl := c.classes[request.Class]
+	cl.priority, cl.limited = request.Priority, !request.Target.IsZero()
 	requester := cl.callers.recordArrival(now, request.Caller, request.Weight)
 	if refusal := c.check(now, cl, requester, request); refusal != nil {
 		cl.refused.add(now, 1)
@@ -131,6 +148,9 @@
 	if refusal := c.checkBounds(now, cl, request.Bytes); refusal != nil {
 		return refusal
 	}
+	if cl.limited {
+		return c.checkLimit(now, cl, requester)
+	}
 	if refusal := c.checkWait(now, cl, requester, request); refusal != nil {
 		return refusal
 	}
@@ -158,7 +178,7 @@
 	cl.deadlines.insert(request.Deadline)
 	requester.admitted.add(now, 1)
 	cl.admitted.add(now, 1)
-	return &Permit{class: cl, admitted: now, deadline: request.Deadline, bytes: request.Bytes}
+	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes}
 }
 
 // Release takes a permit back and records how the request ended. A second call
@@ -174,16 +194,25 @@
 	c.bytes -= permit.bytes
 	permit.class.bytes -= permit.bytes
 	permit.class.deadlines.remove(permit.deadline)
-	if !completion.Abandoned {
-		c.record(now, permit.class, completion)
+	switch {
+	case completion.NotRun:
+		permit.caller.admitted.add(now, -1)
+		permit.class.admitted.add(now, -1)
+	case !completion.Abandoned:
+		c.record(now, permit, completion)
 	}
 	c.control(now)
 }
 
-func (c *Controller) record(now time.Time, cl *class, completion Completion) {
+func (c *Controller) record(now time.Time, permit *Permit, completion Completion) {
+	cl := permit.class
 	if completion.Answered {
 		cl.answered++
 	}
+	if !permit.target.IsZero() {
+		cl.pressure.add(&LegTiming{Time: completion.LegTime, QueueTime: completion.QueueTime})
+		c.recordDelay(now, permit, &completion)
+	}
 	for i := range completion.Legs {
 		leg := &completion.Legs[i]
 		cl.legs.add(now, leg)
@@ -210,6 +239,8 @@
 	Pressure float64
 	// Callers is the number of active callers.
 	Callers int
+	// Limit is the latency limit on requests in flight; 0: none.
+	Limit float64
 }
 
 // Stats returns the current state.
@@ -220,7 +251,7 @@
 	for _, cl := range c.classes {
 		stats.Classes = append(stats.Classes, ClassStats{
 			Name: cl.name, InFlight: cl.inFlight(), Bytes: cl.bytes,
-			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(),
+			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(), Limit: cl.latencyLimit.limit,
 		})
 	}
 	return stats
--- a/admit/class.go
+++ b/admit/class.go
@@ -4,15 +4,18 @@
 
 // class is the state of one class of requests.
 type class struct {
-	name      string
-	reserved  float64   // share of the host's bounds, 0 to 1
-	bytes     int       // of the request bodies in flight
-	deadlines deadlines // of the requests in flight
-	callers   *callers
-	admitted  decayingRate
-	refused   decayingRate
-	pressure  pressure
-	legs      legLatencies
+	name         string
+	reserved     float64   // share of the host's bounds, 0 to 1
+	priority     int       // 0 is the most urgent
+	limited      bool      // its requests have targets
+	bytes        int       // of the request bodies in flight
+	deadlines    deadlines // of the requests in flight
+	callers      *callers
+	admitted     decayingRate
+	refused      decayingRate
+	pressure     pressure
+	legs         legLatencies
+	latencyLimit latencyLimit
 	capacityEstimator
 }
 
--- a/bench/homes.go
+++ b/bench/homes.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestspan/goldcrestspan/home"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/place"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -62,6 +63,8 @@
 	nextID    home.LegID
 	// lossDetected is the time at which the loss of a host is detected, by host.
 	lossDetected map[int]time.Duration
+	// onReply, if set, is called with the forecast that goes with each reply.
+	onReply func(*Leg, leg.Forecast)
 }
 
 type runnerKey struct {
@@ -103,7 +106,7 @@
 	}
 	r := p.runner(target, leg.Service)
 	p.runnerOf[leg] = r
-	p.sim.After(p.sim.HostHop(from, target), func() { r.submit(leg) })
+	p.sim.OnProcessor(from, 1, func() { p.sim.After(p.sim.HostHop(from, target), func() { r.submit(leg) }) })
 }
 
 func (p *homePolicy) target(from int, service *Service, fallback bool) (int, bool) {
@@ -260,7 +263,11 @@
 
 func (r *homeRunner) reply(leg *Leg, fn func()) {
 	delete(r.policy.runnerOf, leg)
-	r.policy.sim.After(r.policy.sim.HostHop(r.host, leg.Query.Host), fn)
+	sim, entryHost := r.policy.sim, leg.Query.Host
+	if r.policy.onReply != nil {
+		r.policy.onReply(leg, r.state.Forecast(r.now(), leg.Query.Traffic.Class))
+	}
+	sim.After(sim.HostHop(r.host, entryHost), func() { sim.OnProcessor(entryHost, 1, fn) })
 }
 
 func (r *homeRunner) scheduleTick() {
--- /dev/null
+++ b/bench/overload.go
@@ -0,0 +1,222 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/admit"
+	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/leg"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+// SharedSearch returns a shape in which four hosts coordinate searches over services whose
+// homes are spread over them.
+func SharedSearch() Shape {
+	return Shape{
+		EntryHosts: 4, Services: 30, Servers: 3, Slots: 2, ServerQueue: 12, Zones: 3,
+		HopSameZone: 250 * time.Microsecond, HopOtherZone: 500 * time.Microsecond,
+		ServiceTime:    ServiceTime{Base: 20 * time.Millisecond, MeanExtra: 8 * time.Millisecond, StragglerShare: 0.005, StragglerExtra: 60 * time.Millisecond},
+		DetectHostLoss: 300 * time.Millisecond,
+	}
+}
+
+const (
+	fullTarget, fullDeadline     = 300 * time.Millisecond, 2 * time.Second
+	urgentTarget, urgentDeadline = 80 * time.Millisecond, 800 * time.Millisecond
+	fullCoverage, urgentCoverage = 0.95, 0.85
+	urgentShare                  = 0.15 // of the slot time
+	overloadCallers              = 10
+)
+
+// customerTraffic returns full searches and urgent lookups of ten customers with equal
+// shares; the first sends the given multiple of its own. Refused callers retry once.
+func customerTraffic(factor float64) []Traffic {
+	lookup := ServiceTime{Base: 7 * time.Millisecond, MeanExtra: 2 * time.Millisecond, StragglerShare: 0.005, StragglerExtra: 20 * time.Millisecond}
+	var traffic []Traffic
+	for i := range overloadCallers {
+		share := 1.0 / overloadCallers
+		if i == 0 {
+			share *= factor
+		}
+		traffic = append(
+			traffic,
+			Traffic{Caller: callerName(i), Class: Standard, Share: (1 - urgentShare) * share, Deadline: fullDeadline, SoftDeadline: fullTarget, MinCoverage: fullCoverage, RetryRefused: true},
+			Traffic{Caller: callerName(i), Class: Interactive, Share: urgentShare * share, Deadline: urgentDeadline, SoftDeadline: urgentTarget, MinCoverage: urgentCoverage, ServiceTime: lookup, RetryRefused: true},
+		)
+	}
+	return traffic
+}
+
+// OverloadCase returns a load of 0.3 of the capacity that is multiplied by the factor during
+// the burst, while the first customer sends flood times as much as the others.
+func OverloadCase(factor, flood float64) Case {
+	return Case{
+		Name: "overload", Shape: SharedSearch(), Load: 0.3, Traffic: customerTraffic(flood), Length: 13 * time.Second,
+		Surge: func(at time.Duration) float64 {
+			if at < burstStart || at >= burstEnd {
+				return 1
+			}
+			return factor
+		},
+	}
+}
+
+// Slowed returns the case with a part of all servers slow by the factor during the burst.
+func (c Case) Slowed(part, factor float64) Case {
+	set := func(factor float64) func(*Sim) {
+		return func(s *Sim) {
+			n, total := 0, len(s.Services)*s.Case.Shape.Servers
+			for i := range s.Case.Shape.Servers {
+				for _, service := range s.Services {
+					if n < int(part*float64(total)) {
+						service.Servers[i].SlowFactor = factor
+					}
+					n++
+				}
+			}
+		}
+	}
+	c.Changes = append(slices.Clip(c.Changes), Change{At: burstStart, Apply: set(factor)}, Change{At: burstEnd, Apply: set(1)})
+	return c
+}
+
+// WithSearchLimit admits queries as a coordinating host does: by the latency limit of their
+// class, with shares of the customers, then by the forecasts that came with replies.
+func WithSearchLimit(spec PolicySpec, limited bool) PolicySpec {
+	spec.Admission = func(s *Sim) Admission {
+		a := &searchAdmission{sim: s, limited: limited, permits: make(map[*Query]*admit.Permit), forecasts: make(map[forecastKey]cachedForecast)}
+		a.policy = s.policy.(*homePolicy)
+		a.policy.onReply = a.recordForecast
+		for i := range s.Hosts {
+			controller := admit.New(admit.Limits{MaxConcurrent: benchMaxConcurrent, MaxBytes: benchMaxBytesInFlight}, rand.New(rand.NewPCG(uint64(i), 4)))
+			controller.Reconfigure(&bundle.Config{Classes: []bundle.Class{Interactive: {Name: "interactive"}, Standard: {Name: "standard"}, Batch: {Name: "batch"}}})
+			a.controllers = append(a.controllers, controller)
+		}
+		return a
+	}
+	return spec
+}
+
+type searchAdmission struct {
+	sim         *Sim
+	policy      *homePolicy
+	limited     bool
+	controllers []*admit.Controller // by entry host
+	permits     map[*Query]*admit.Permit
+	forecasts   map[forecastKey]cachedForecast
+}
+
+type forecastKey struct{ host, service, class int }
+
+type cachedForecast struct {
+	forecast leg.Forecast
+	at       time.Duration
+}
+
+const benchForecastTTL = 500 * time.Millisecond
+
+func (a *searchAdmission) recordForecast(l *Leg, f leg.Forecast) {
+	a.forecasts[forecastKey{l.Query.Host, l.Service.Index, l.Query.Traffic.Class}] = cachedForecast{f, a.sim.now}
+}
+
+func (a *searchAdmission) forecast(host int, service *Service, class int) leg.Forecast {
+	if target, ok := a.policy.target(host, service, false); ok && target == host {
+		return a.policy.runner(host, service).state.Forecast(a.sim.Now(), class)
+	}
+	cached, ok := a.forecasts[forecastKey{host, service.Index, class}]
+	if age := a.sim.now - cached.at; ok && age <= benchForecastTTL {
+		cached.forecast.QueueTime = max(0, cached.forecast.QueueTime-age)
+		return cached.forecast
+	}
+	return leg.Forecast{}
+}
+
+// Arrive implements Admission. A refusal takes about as much of the processor as a leg.
+func (a *searchAdmission) Arrive(q *Query) {
+	a.sim.OnProcessor(q.Host, 1, func() { a.decide(q) })
+}
+
+func (a *searchAdmission) decide(q *Query) {
+	if q.ended {
+		return
+	}
+	now := a.sim.Now()
+	plan := scatter.Plan{Request: q.ID, Started: now, Deadline: q.DeadlineTime(), SoftDeadline: q.softDeadline(), MinCoverage: q.Traffic.MinCoverage}
+	if a.limited {
+		permit, refusal := a.controllers[q.Host].Admit(now, admit.Request{
+			Caller: q.Traffic.Caller, Weight: 1, Class: q.Traffic.Class, Priority: q.Traffic.Class, Deadline: q.DeadlineTime(), Target: q.softDeadline(),
+		})
+		if refusal != nil {
+			a.sim.Refuse(q, refusal.Code, min(refusal.RetryAfter, scatter.RetryAfter(&plan, now)))
+			return
+		}
+		a.permits[q] = permit
+	}
+	forecasts := make([]leg.Forecast, len(q.Legs))
+	for i, l := range q.Legs {
+		forecasts[i] = a.forecast(q.Host, l.Service, q.Traffic.Class)
+	}
+	decision := scatter.DecideAdmission(&plan, plan.SoftDeadline.Sub(now), forecasts)
+	if decision.Refuse {
+		a.sim.Refuse(q, result.Overloaded, scatter.RetryAfter(&plan, now))
+		return
+	}
+	for i, optional := range decision.Optional {
+		q.Legs[i].Optional = optional
+	}
+	a.sim.Release(q)
+}
+
+// LegEnded implements Admission.
+func (a *searchAdmission) LegEnded(*Leg) {}
+
+// QueryEnded implements Admission.
+func (a *searchAdmission) QueryEnded(q *Query) {
+	permit := a.permits[q]
+	delete(a.permits, q)
+	if permit == nil {
+		return
+	}
+	queueTime, legTime := a.medianTimes(q)
+	a.controllers[q.Host].Release(a.sim.Now(), permit, admit.Completion{
+		Answered: q.covered(), NotRun: !q.released, QueueTime: queueTime, LegTime: legTime, ProcessorDelay: a.sim.ProcessorDelay(q.Host),
+	})
+}
+
+func (a *searchAdmission) medianTimes(q *Query) (queueTime, legTime time.Duration) {
+	var queueTimes, legTimes []time.Duration
+	for _, l := range q.Legs {
+		legTimes = append(legTimes, a.sim.now-l.Submitted)
+		if l.Ended && l.Started != 0 {
+			legTimes[len(legTimes)-1] = l.endedAt - l.Submitted
+			queueTimes = append(queueTimes, l.Started-l.Submitted)
+		}
+	}
+	slices.Sort(legTimes)
+	slices.Sort(queueTimes)
+	queueTime = -1
+	if 4*len(queueTimes) >= len(q.Legs) {
+		queueTime = queueTimes[len(queueTimes)/2]
+	}
+	return queueTime, legTimes[len(legTimes)/2]
+}
+
+// InTimePerSecond returns the answers in time per second of arrival between the two times.
+func (r *Result) InTimePerSecond(from, until time.Duration) float64 {
+	answers := 0
+	for second := int(from / time.Second); second < int(until/time.Second); second++ {
+		answers += r.PerSecond[second].InTime
+	}
+	return float64(answers) / (until - from).Seconds()
+}
+
+// PrintOverload describes the answers during and after the burst.
+func (r *Result) PrintOverload(shape Shape) string {
+	return fmt.Sprintf("%s: goodput %.3f, after %.3f; in time/s %.0f, after %.0f; refused %d of %d, p99 %v",
+		r.Policy, r.GoodputShare(shape, burstStart, burstEnd), r.GoodputShare(shape, burstEnd+time.Second, burstEnd+3*time.Second),
+		r.InTimePerSecond(burstStart, burstEnd), r.InTimePerSecond(burstEnd+time.Second, burstEnd+3*time.Second), r.All.Refused, r.All.Arrived, r.All.Latency(0.99))
+}
--- a/bench/query.go
+++ b/bench/query.go
@@ -39,6 +39,7 @@
 	Started  time.Duration
 	Answered bool
 	Ended    bool
+	endedAt  time.Duration
 	// Code and Outcome are set for a failed leg.
 	Code    result.Code
 	Outcome result.Outcome
@@ -202,7 +203,7 @@
 }
 
 func (s *Sim) endLeg(leg *Leg) {
-	leg.Ended = true
+	leg.Ended, leg.endedAt = true, s.now
 	leg.Query.openLegs--
 	s.admission.LegEnded(leg)
 	if leg.Query.openLegs == 0 || (leg.Query.pastSoftDeadline && leg.Query.covered()) {
--- a/bench/shape.go
+++ b/bench/shape.go
@@ -21,6 +21,7 @@
 	HopSameZone    time.Duration // one way
 	HopOtherZone   time.Duration // one way
 	ServiceTime    ServiceTime
+	HostTimePerLeg time.Duration // of a host's processor for sending a leg or handling its reply
 	DetectHostLoss time.Duration // until hosts detect a host that is down
 }
 
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -39,6 +39,8 @@
 	// View is this host's view of the membership; hosts share one unless a case
 	// makes the views differ.
 	View *member.View
+
+	processorFree time.Duration // when the processor has done what it was given
 }
 
 // Service is the set of simulated backend servers of one shard.
@@ -116,6 +118,23 @@
 	}
 }
 
+// OnProcessor calls fn when the processor of the host has done the work of the given
+// number of legs, after all that it was given before.
+func (s *Sim) OnProcessor(host, legs int, fn func()) {
+	if s.Case.Shape.HostTimePerLeg == 0 {
+		fn()
+		return
+	}
+	h := s.Hosts[host]
+	h.processorFree = max(s.now, h.processorFree) + time.Duration(legs)*s.Case.Shape.HostTimePerLeg
+	s.At(h.processorFree, fn)
+}
+
+// ProcessorDelay returns how long new work waits for the processor of the host.
+func (s *Sim) ProcessorDelay(host int) time.Duration {
+	return max(0, s.Hosts[host].processorFree-s.now)
+}
+
 // Hop returns the one-way latency between two availability zones.
 func (s *Sim) Hop(a, b int) time.Duration {
 	if a == b {
--- /dev/null
+++ b/gateway/admission.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/goldcrestspan/goldcrestspan/admit"
+	"github.com/goldcrestspan/goldcrestspan/result"
+	"github.com/goldcrestspan/goldcrestspan/route"
+	"github.com/goldcrestspan/goldcrestspan/scatter"
+)
+
+const (
+	// processorProbeInterval is how often the wait for the processor is measured: several
+	// times within the shortest target.
+	processorProbeInterval = 20 * time.Millisecond
+	// processorDelayDecay is the part of the measured wait that remains after one interval.
+	processorDelayDecay = 0.8
+)
+
+// searchAdmission decides on searches at their coordinating host. Requests to a single
+// service hold no slots of others while they wait, and are ordered by its home alone.
+type searchAdmission struct {
+	controller     *admit.Controller
+	now            func() time.Time
+	processorDelay atomic.Int64 // nanoseconds
+}
+
+func newSearchAdmission(now func() time.Time) *searchAdmission {
+	limits := admit.Limits{MaxConcurrent: maxRequestsInFlight, MaxBytes: math.MaxInt} // bytes: see ReserveBody
+	return &searchAdmission{controller: admit.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), now: now}
+}
+
+// admit returns the permit of a search, nil for a request without a limit, or its refusal
+// before any leg is sent.
+func (a *searchAdmission) admit(c *configuration, r *route.Route, spec *scatter.QuerySpec) (*admit.Permit, *Answer) {
+	if spec.SoftDeadline.IsZero() || len(spec.Snapshot.Shards) < 2 {
+		return nil, nil
+	}
+	_, class, known := c.compiled.Class(spec.Class)
+	if !known {
+		return nil, nil
+	}
+	now := a.now()
+	permit, refusal := a.controller.Admit(now, admit.Request{
+		Caller: spec.Caller, Weight: 1, Class: class, Priority: r.Priority, Deadline: spec.Deadline, Target: spec.SoftDeadline,
+	})
+	if refusal == nil {
+		return permit, nil
+	}
+	return nil, newRefusal(refusal.Code, refusal.Detail, min(refusal.RetryAfter, scatter.RetryAfter(&spec.Plan, now)))
+}
+
+// release records how an admitted search ended.
+func (a *searchAdmission) release(permit *admit.Permit, answer *scatter.Answer) {
+	if permit == nil {
+		return
+	}
+	queueTime, legTime := medianTimes(answer.Legs)
+	a.controller.Release(a.now(), permit, admit.Completion{
+		Answered:       hasAnswer(answer.Code),
+		Abandoned:      answer.Code == result.Cancelled,
+		NotRun:         answer.Code.NotRun(),
+		QueueTime:      queueTime,
+		LegTime:        legTime,
+		ProcessorDelay: time.Duration(a.processorDelay.Load()),
+	})
+}
+
+// medianTimes returns the medians of the legs' times in queues, negative if it is known of
+// less than a quarter of them, and of their latencies.
+func medianTimes(legs []scatter.LegTiming) (queueTime, legTime time.Duration) {
+	queueTimes, legTimes := make([]time.Duration, 0, len(legs)), make([]time.Duration, 0, len(legs))
+	for i := range legs {
+		legTimes = append(legTimes, legs[i].Time)
+		if legs[i].QueueTime >= 0 && !legs[i].TimedOut {
+			queueTimes = append(queueTimes, legs[i].QueueTime)
+		}
+	}
+	queueTime = -1
+	if 4*len(queueTimes) >= len(legs) {
+		queueTime = median(queueTimes)
+	}
+	return queueTime, median(legTimes)
+}
+
+func median(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// measureProcessorDelay measures how late a timer of this process fires: about as long as a
+// request waits for the processor at each of its steps.
+func (a *searchAdmission) measureProcessorDelay(ctx context.Context) error {
+	timer := time.NewTimer(processorProbeInterval)
+	defer timer.Stop()
+	due := time.Now().Add(processorProbeInterval)
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		now := time.Now()
+		a.processorDelay.Store(max(int64(now.Sub(due)), int64(processorDelayDecay*float64(a.processorDelay.Load()))))
+		timer.Reset(processorProbeInterval)
+		due = now.Add(processorProbeInterval)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	homeLegRunner   *homeLegRunner
 	remoteForecasts *remoteForecasts
 	crashDetector   *crashDetector
+	searches        *searchAdmission
 	// runCtx ends after the planned stop, and links to peers end with it.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -178,6 +179,7 @@
 	g.newestIncarnations = newest
 	g.reloadable.Store(&options.ReloadableOptions)
 	g.budgetRoles.Store(&initialBudgetRoles)
+	g.searches = newSearchAdmission(options.Now)
 	g.runCtx, g.cancelRun = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.cancelRun()
@@ -238,6 +240,7 @@
 	}
 	run("registration", g.register)
 	run("load", g.measureLoad)
+	run("processor", g.searches.measureProcessorDelay)
 	run("stop", func(runCtx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -295,6 +298,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.searches.controller.Reconfigure(next.compiled)
 	g.crashDetector.registry.Reconfigure(next.compiled)
 	g.configureWarming(next)
 	g.timeouts.prune(next.targets)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -137,12 +137,19 @@
 	}
 	querySpec := g.querySpec(c, r, service, q)
 	querySpec.Fingerprint = uint64(fingerprint)
+	permit, refusal := g.searches.admit(c, r, &querySpec)
+	if refusal != nil {
+		g.logRefusal(q, c, refusal)
+		g.metrics.Request(r.Host, querySpec.Class, refusal.Code, g.options.Now().Sub(q.Arrived))
+		return refusal
+	}
 	var answer *scatter.Answer
 	if admission.Canary {
 		answer = g.runCanary(ctx, querySpec, fingerprint)
 	} else {
 		answer = g.coordinators.of(&querySpec).Run(ctx, querySpec)
 	}
+	g.searches.release(permit, answer)
 	if len(answer.Parts) > 0 {
 		g.crashDetector.suspects.RecordAnswer(g.options.Now(), fingerprint)
 	}
