--- a/admit/admit.go
+++ b/admit/admit.go
@@ -63,10 +63,6 @@
 	// NotRun: it was refused after its admission, before it used anything.
 	NotRun bool
 	Legs   []LegTiming
-	// QueueTime and LegTime are the medians of the legs' waits for a slot and of their
-	// latencies, for a request with a target instead of Legs: a few slow or lost services
-	// don't change them. QueueTime is negative if it is not known of most.
-	QueueTime, LegTime time.Duration
 	// ProcessorDelay is how long work waited for this host's processor lately.
 	ProcessorDelay time.Duration
 }
@@ -80,7 +76,22 @@
 	target   time.Time
 	inFlight int // of the class at its admission, itself included
 	bytes    int
-	done     bool
+	// overShare: its caller has more than an equal share of the class.
+	overShare bool
+	done      bool
+}
+
+// overShareQueueShare is the part of the usual queue time that requests of callers over
+// their share are admitted with. It leaves room in the queues for the other callers, and
+// keeps the slots busy if there are no others.
+const overShareQueueShare = 0.35
+
+// QueueShare returns the part of the usual queue time that the request may be forecast.
+func (p *Permit) QueueShare() float64 {
+	if p != nil && p.overShare {
+		return overShareQueueShare
+	}
+	return 1
 }
 
 // Controller is the admission of one entry host.
@@ -178,7 +189,7 @@
 	cl.deadlines.insert(request.Deadline)
 	requester.admitted.add(now, 1)
 	cl.admitted.add(now, 1)
-	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes}
+	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes, overShare: cl.callers.isOverShare(now, requester)}
 }
 
 // Release takes a permit back and records how the request ended. A second call
@@ -210,8 +221,8 @@
 		cl.answered++
 	}
 	if !permit.target.IsZero() {
-		cl.pressure.add(&LegTiming{Time: completion.LegTime, QueueTime: completion.QueueTime})
 		c.recordDelay(now, permit, &completion)
+		return
 	}
 	for i := range completion.Legs {
 		leg := &completion.Legs[i]
--- a/admit/fairness.go
+++ b/admit/fairness.go
@@ -67,9 +67,6 @@
 	scarceCount int
 	// fairRate is the rate per weight if all active callers got equal shares.
 	fairRate float64
-	// lentRate is the rate per weight of callers that want more than an equal share, when
-	// the rest of what the others don't want is divided among them.
-	lentRate float64
 	sorted   []*caller // reused between control intervals
 }
 
@@ -117,7 +114,6 @@
 		return
 	}
 	cs.fairRate = admitted / weight
-	cs.lentRate = cs.divide(now, admitted, weight)
 	cs.lightDemand = cs.demandOfLightCallers(now, weight)
 	cs.updateFloodRatio(pressure)
 	switch {
@@ -131,23 +127,6 @@
 	cs.rateLimit = max(cs.rateLimit, cs.fairRate)
 }
 
-// divide returns the rate per weight at which the callers' demands, each cut to it, sum to
-// the admitted rate.
-func (cs *callers) divide(now time.Time, admitted, weight float64) float64 {
-	for _, c := range cs.sorted {
-		demand := c.demand(now)
-		if demand*weight >= admitted {
-			break
-		}
-		admitted -= demand * c.weight
-		weight -= c.weight
-	}
-	if weight <= 0 {
-		return math.Inf(1)
-	}
-	return admitted / weight
-}
-
 // updateFloodRatio lowers the ratio once slots have been scarce for a while.
 func (cs *callers) updateFloodRatio(pressure float64) {
 	cs.scarceCount++
@@ -200,14 +179,14 @@
 
 // isOverShare reports whether the caller got clearly more than an equal share.
 func (cs *callers) isOverShare(now time.Time, c *caller) bool {
-	share := max(cs.fairRate, cs.lentRate) * c.weight * rateTimeConstant.Seconds()
+	share := cs.fairRate * c.weight * rateTimeConstant.Seconds()
 	return len(cs.byName) > 1 && c.admitted.recent(now) > overShareMargin*share+noiseDeviations*math.Sqrt(share)+noiseDeviations
 }
 
 // isUnderShare reports whether the caller has not got its share. The only caller of a class
 // has none to defend.
 func (cs *callers) isUnderShare(now time.Time, c *caller) bool {
-	share := max(cs.fairRate, cs.lentRate) * c.weight * rateTimeConstant.Seconds()
+	share := cs.fairRate * c.weight * rateTimeConstant.Seconds()
 	return len(cs.byName) > 1 && c.admitted.recent(now)+1 <= max(1, share)
 }
 
--- a/admit/latencylimit.go
+++ b/admit/latencylimit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -8,11 +9,14 @@
 
 const (
 	// minLatencyLimit always lets some requests in, so that a recovery is found.
-	minLatencyLimit = 2
+	minLatencyLimit = 1
 	// maxDelayShare is the part of the time to its target that a request may spend
 	// waiting for slots or the processor before it counts as congested. The rest
 	// covers the service time and the slowest of many legs.
 	maxDelayShare = 0.3
+	// lateShare is the part of the time to the target from which an answer counts as late:
+	// then the slowest legs matter, since they decided.
+	lateShare = 0.9
 	// minCutFactor bounds one cut: the delay of one request may be an outlier.
 	minCutFactor = 0.3
 	// limitGrowthPerRound is by how many requests the limit grows while as many
@@ -21,6 +25,9 @@
 	// nearLimitShare is the part of the limit from which it counts as reached: it
 	// grows, and callers over their share are refused.
 	nearLimitShare = 0.75
+	// delaySmoothing is the weight of one request in the delay: a burst cuts the limit after
+	// two or three, and one outlier does not.
+	delaySmoothing = 0.25
 	// limitExpiry removes a limit that was not reached for this long, so that a
 	// burst that has ended refuses nothing.
 	limitExpiry = time.Second
@@ -36,6 +43,7 @@
 	limit     float64 // requests; 0: none
 	cutAt     time.Time
 	reachedAt time.Time // when it was last nearly reached
+	delay     float64   // of the last requests, in seconds, smoothed
 }
 
 func (l *latencyLimit) active() bool { return l.limit > 0 }
@@ -100,18 +108,56 @@
 // without a delay by queues or the processor, as at a few slow or lost servers, leaves it
 // alone: refusing other requests would not help.
 func (c *Controller) recordDelay(now time.Time, permit *Permit, completion *Completion) {
-	allowed := time.Duration(maxDelayShare * float64(permit.target.Sub(permit.admitted)))
-	delay := completion.QueueTime + completion.ProcessorDelay
-	if completion.QueueTime < 0 && permit.class.pressure.value() >= scarcePressure {
-		delay = completion.LegTime // most legs still waited while others waited long
+	cl := permit.class
+	budget := permit.target.Sub(permit.admitted)
+	if budget <= 0 {
+		return
 	}
+	late := float64(now.Sub(permit.admitted)) >= lateShare*float64(budget)
+	delay := cl.queueTime(completion.Legs, late) + completion.ProcessorDelay
+	l := &cl.latencyLimit
+	l.delay += delaySmoothing * (delay.Seconds() - l.delay)
+	allowed := seconds(maxDelayShare * budget.Seconds())
 	switch {
-	case allowed <= 0:
-	case delay > allowed:
-		c.cutFor(now, permit, allowed, delay)
-	case permit.class.latencyLimit.near(permit.inFlight) && completion.Answered && !now.After(permit.target):
-		permit.class.latencyLimit.grow()
+	case l.delay > allowed.Seconds():
+		c.cutFor(now, permit, allowed, seconds(l.delay))
+	case l.near(permit.inFlight) && completion.Answered && !late:
+		l.grow()
+	}
+}
+
+const (
+	// queueQuantile of the legs' waits is that of a request: a few slow or lost services
+	// don't raise it. lateQueueQuantile is that of a late one.
+	queueQuantile, lateQueueQuantile = 0.75, 0.9
+	// minKnownLegs is the part of the legs of which the wait must be known; of those that
+	// were cancelled it is not.
+	minKnownLegs = 0.25
+)
+
+// queueTime returns how long the legs of a request waited for a slot.
+func (cl *class) queueTime(legs []LegTiming, late bool) time.Duration {
+	waits := make([]time.Duration, 0, len(legs))
+	var latency time.Duration
+	for i := range legs {
+		cl.pressure.add(&legs[i])
+		latency += legs[i].Time / time.Duration(len(legs))
+		if legs[i].QueueTime >= 0 {
+			waits = append(waits, legs[i].QueueTime)
+		}
+	}
+	if float64(len(waits)) < minKnownLegs*float64(len(legs)) {
+		if cl.pressure.value() < scarcePressure {
+			return 0
+		}
+		return latency // most legs still waited while others waited long
+	}
+	slices.Sort(waits)
+	quantile := queueQuantile
+	if late {
+		quantile = lateQueueQuantile
 	}
+	return waits[int(quantile*float64(len(waits)))]
 }
 
 // cutFor cuts the limits of the less urgent classes that compete with a delayed request, or
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +49,7 @@
 		Caller: spec.Caller, Weight: 1, Class: class, Priority: r.Priority, Deadline: spec.Deadline, Target: spec.SoftDeadline,
 	})
 	if refusal == nil {
+		spec.QueueShare = permit.QueueShare()
 		return permit, nil
 	}
 	return nil, newRefusal(refusal.Code, refusal.Detail, min(refusal.RetryAfter, scatter.RetryAfter(&spec.Plan, now)))
@@ -60,40 +60,21 @@
 	if permit == nil {
 		return
 	}
-	queueTime, legTime := medianTimes(answer.Legs)
 	a.controller.Release(a.now(), permit, admit.Completion{
 		Answered:       hasAnswer(answer.Code),
 		Abandoned:      answer.Code == result.Cancelled,
 		NotRun:         answer.Code.NotRun(),
-		QueueTime:      queueTime,
-		LegTime:        legTime,
+		Legs:           legTimings(answer.Legs),
 		ProcessorDelay: time.Duration(a.processorDelay.Load()),
 	})
 }
 
-// medianTimes returns the medians of the legs' times in queues, negative if it is known of
-// less than a quarter of them, and of their latencies.
-func medianTimes(legs []scatter.LegTiming) (queueTime, legTime time.Duration) {
-	queueTimes, legTimes := make([]time.Duration, 0, len(legs)), make([]time.Duration, 0, len(legs))
-	for i := range legs {
-		legTimes = append(legTimes, legs[i].Time)
-		if legs[i].QueueTime >= 0 && !legs[i].TimedOut {
-			queueTimes = append(queueTimes, legs[i].QueueTime)
-		}
-	}
-	queueTime = -1
-	if 4*len(queueTimes) >= len(legs) {
-		queueTime = median(queueTimes)
-	}
-	return queueTime, median(legTimes)
-}
-
-func median(times []time.Duration) time.Duration {
-	if len(times) == 0 {
-		return 0
+func legTimings(legs []scatter.LegTiming) []admit.LegTiming {
+	timings := make([]admit.LegTiming, len(legs))
+	for i, l := range legs {
+		timings[i] = admit.LegTiming{Service: l.Service, Time: l.Time, QueueTime: l.QueueTime, TimedOut: l.TimedOut}
 	}
-	slices.Sort(times)
-	return times[len(times)/2]
+	return timings
 }
 
 // measureProcessorDelay measures how late a timer of this process fires: about as long as a
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -40,8 +40,12 @@
 	spare := len(forecasts) - RequiredShards(plan.MinCoverage, len(forecasts))
 	var admission Admission
 	late := 0
+	queueTimeShare := maxQueueTimeShare
+	if plan.QueueShare > 0 {
+		queueTimeShare *= plan.QueueShare
+	}
 	for i, f := range forecasts {
-		if f.Unresponsive || f.QueueTime > 0 && f.QueueTime > time.Duration(maxQueueTimeShare*float64(left-f.ServiceTime)) {
+		if f.Unresponsive || f.QueueTime > 0 && f.QueueTime > time.Duration(queueTimeShare*float64(left-f.ServiceTime)) {
 			admission.markOptional(i, len(forecasts))
 			late++
 		}
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -41,6 +41,9 @@
 	Deadline time.Time
 	// SoftDeadline is when the answer loses most of its value; zero: at the deadline.
 	SoftDeadline time.Time
+	// QueueShare is the part of the usual queue time that the query is admitted with, less
+	// for a caller over its share; 0 means all of it.
+	QueueShare float64
 	// CallerRTT is the round trip between the caller and this host; 0: not known.
 	CallerRTT time.Duration
 	// MinCoverage is the share of shards, 0 to 1, below which there is no answer.
