--- a/admit/admit.go
+++ b/admit/admit.go
@@ -10,6 +10,7 @@
 package admit
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -35,7 +36,9 @@
 	Target time.Time
 	// Priority is that of the class; 0 is the most urgent.
 	Priority int
-	Bytes    int // of the request's body
+	// ProcessorDelay is how long work waits for this host's processor.
+	ProcessorDelay time.Duration
+	Bytes          int // of the request's body
 	// Services has one entry for each leg, from the pinned snapshot.
 	Services []string
 	// MinLegs is how many legs must be answered for there to be an answer;
@@ -43,6 +46,16 @@
 	MinLegs int
 }
 
+// Reasons of refusals, for metrics and logs.
+const (
+	ReasonBounds    = "bounds"    // the host's bounds on requests and bytes
+	ReasonLimit     = "limit"     // the latency limit of the class
+	ReasonProcessor = "processor" // work waits too long for this host's processor
+	ReasonShare     = "share"     // the caller is over its share
+	ReasonForecast  = "forecast"  // the forecasts of the services' homes
+	ReasonWait      = "wait"      // the measured wait of requests without a target
+)
+
 // LegTiming is the latency of one leg of an admitted request.
 type LegTiming struct {
 	Service string
@@ -62,7 +75,9 @@
 	Abandoned bool
 	// NotRun: it was refused after its admission, before it used anything.
 	NotRun bool
-	Legs   []LegTiming
+	// Refused is the reason if it was refused after its admission.
+	Refused string
+	Legs    []LegTiming
 	// ProcessorDelay is how long work waited for this host's processor lately.
 	ProcessorDelay time.Duration
 }
@@ -86,6 +101,15 @@
 // keeps the slots busy if there are no others.
 const overShareQueueShare = 0.35
 
+// shortRefusedShare is the part of a class's requests that must be refused lately for its
+// capacity to count as short: nobody is cut for a queue that is long for a moment.
+const shortRefusedShare = 0.05
+
+func (cl *class) isShort(now time.Time) bool {
+	refused := cl.refused.recent(now)
+	return refused >= 1 && refused > shortRefusedShare*cl.admitted.recent(now)
+}
+
 // QueueShare returns the part of the usual queue time that the request may be forecast.
 func (p *Permit) QueueShare() float64 {
 	if p != nil && p.overShare {
@@ -146,6 +170,10 @@
 	if refusal := c.check(now, cl, requester, request); refusal != nil {
 		cl.refused.add(now, 1)
 		requester.refused.add(now, 1)
+		if refusal.Reason == "" {
+			refusal.Reason = ReasonWait
+		}
+		cl.refusals[refusal.Reason]++
 		return nil, refusal
 	}
 	return c.grant(now, cl, requester, request), nil
@@ -160,12 +188,12 @@
 		return refusal
 	}
 	if cl.limited {
-		return c.checkLimit(now, cl, requester)
+		return c.checkLimit(now, cl, requester, &request)
 	}
 	if refusal := c.checkWait(now, cl, requester, request); refusal != nil {
 		return refusal
 	}
-	return c.checkShare(now, cl, requester)
+	return c.checkShare(now, cl, requester, request.Deadline.Sub(now))
 }
 
 // checkWait refuses a request that would wait too long. It lets one through when
@@ -189,7 +217,7 @@
 	cl.deadlines.insert(request.Deadline)
 	requester.admitted.add(now, 1)
 	cl.admitted.add(now, 1)
-	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes, overShare: cl.callers.isOverShare(now, requester)}
+	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes, overShare: cl.isShort(now) && cl.callers.isOverShare(now, requester)}
 }
 
 // Release takes a permit back and records how the request ended. A second call
@@ -207,6 +235,10 @@
 	permit.class.deadlines.remove(permit.deadline)
 	switch {
 	case completion.NotRun:
+		permit.class.refused.add(now, 1)
+		if completion.Refused != "" {
+			permit.class.refusals[completion.Refused]++
+		}
 		permit.caller.admitted.add(now, -1)
 		permit.class.admitted.add(now, -1)
 	case !completion.Abandoned:
@@ -221,6 +253,7 @@
 		cl.answered++
 	}
 	if !permit.target.IsZero() {
+		cl.ended.add(now, 1)
 		c.recordDelay(now, permit, &completion)
 		return
 	}
@@ -250,6 +283,8 @@
 	Pressure float64
 	// Callers is the number of active callers.
 	Callers int
+	// Refusals counts the refused requests by reason since the start.
+	Refusals map[string]int
 	// Limit is the latency limit on requests in flight; 0: none.
 	Limit float64
 }
@@ -262,7 +297,7 @@
 	for _, cl := range c.classes {
 		stats.Classes = append(stats.Classes, ClassStats{
 			Name: cl.name, InFlight: cl.inFlight(), Bytes: cl.bytes,
-			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(), Limit: cl.latencyLimit.limit,
+			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(), Limit: cl.latencyLimit.limit, Refusals: maps.Clone(cl.refusals),
 		})
 	}
 	return stats
--- a/admit/backlog.go
+++ b/admit/backlog.go
@@ -110,7 +110,7 @@
 		return c.refuseBacklog(now, cl, ahead-bound, ahead > left)
 	}
 	if ahead > time.Duration(overShareBacklog*float64(bound)) && cl.callers.isOverShare(now, requester) {
-		return c.refuseOverShare(now, cl, requester)
+		return c.refuseOverShare(now, cl, requester, left)
 	}
 	return nil
 }
--- a/admit/bounds.go
+++ b/admit/bounds.go
@@ -15,6 +15,7 @@
 		return nil
 	}
 	refusal := result.Errorf(result.Overloaded, "this entry host has no room for more requests of class %s", cl.name)
+	refusal.Reason = ReasonBounds
 	refusal.RetryAfter = c.retryAfter(now, cl, 0)
 	return refusal
 }
--- a/admit/class.go
+++ b/admit/class.go
@@ -12,15 +12,17 @@
 	deadlines    deadlines // of the requests in flight
 	callers      *callers
 	admitted     decayingRate
+	ended        decayingRate // requests with a target
 	refused      decayingRate
 	pressure     pressure
 	legs         legLatencies
+	refusals     map[string]int // by reason, since the start
 	latencyLimit latencyLimit
 	capacityEstimator
 }
 
 func newClass(name string) *class {
-	return &class{name: name, callers: newCallers(), legs: newLegLatencies(), capacityEstimator: newCapacityEstimator()}
+	return &class{name: name, callers: newCallers(), legs: newLegLatencies(), refusals: make(map[string]int), capacityEstimator: newCapacityEstimator()}
 }
 
 func (cl *class) inFlight() int { return len(cl.deadlines) }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -13,13 +13,9 @@
 	"github.com/goldcrestspan/goldcrestspan/scatter"
 )
 
-const (
-	// processorProbeInterval is how often the wait for the processor is measured: several
-	// times within the shortest target.
-	processorProbeInterval = 20 * time.Millisecond
-	// processorDelayDecay is the part of the measured wait that remains after one interval.
-	processorDelayDecay = 0.8
-)
+// processorProbeInterval is how often the wait for the processor is measured: several
+// times within the shortest target.
+const processorProbeInterval = 20 * time.Millisecond
 
 // searchAdmission decides on searches at their coordinating host. Requests to a single
 // service hold no slots of others while they wait, and are ordered by its home alone.
@@ -46,13 +42,17 @@
 	}
 	now := a.now()
 	permit, refusal := a.controller.Admit(now, admit.Request{
-		Caller: spec.Caller, Weight: 1, Class: class, Priority: r.Priority, Deadline: spec.Deadline, Target: spec.SoftDeadline,
+		Caller: spec.Caller, Weight: c.weight(spec.Caller), Class: class, Priority: r.Priority, Deadline: spec.Deadline, Target: spec.SoftDeadline,
+		ProcessorDelay: a.delay(),
 	})
 	if refusal == nil {
 		spec.QueueShare = permit.QueueShare()
+		spec.RetryAfter = func(now time.Time) time.Duration { return a.controller.RetryAfter(now, class, spec.Deadline.Sub(now)) }
 		return permit, nil
 	}
-	return nil, newRefusal(refusal.Code, refusal.Detail, min(refusal.RetryAfter, scatter.RetryAfter(&spec.Plan, now)))
+	answer := newRefusal(refusal.Code, refusal.Detail, refusal.RetryAfter)
+	answer.Reason = refusal.Reason
+	return nil, answer
 }
 
 // release records how an admitted search ended.
@@ -65,7 +65,8 @@
 		Abandoned:      answer.Code == result.Cancelled,
 		NotRun:         answer.Code.NotRun(),
 		Legs:           legTimings(answer.Legs),
-		ProcessorDelay: time.Duration(a.processorDelay.Load()),
+		Refused:        answer.Reason,
+		ProcessorDelay: a.delay(),
 	})
 }
 
@@ -77,12 +78,16 @@
 	return timings
 }
 
+func (a *searchAdmission) delay() time.Duration { return time.Duration(a.processorDelay.Load()) }
+
 // measureProcessorDelay measures how late a timer of this process fires: about as long as a
-// request waits for the processor at each of its steps.
+// request waits for the processor at each of its steps. The smaller of two measurements
+// counts, so that a single pause of the process is no overload.
 func (a *searchAdmission) measureProcessorDelay(ctx context.Context) error {
 	timer := time.NewTimer(processorProbeInterval)
 	defer timer.Stop()
 	due := time.Now().Add(processorProbeInterval)
+	var previous time.Duration
 	for {
 		select {
 		case <-timer.C:
@@ -90,7 +95,9 @@
 			return nil
 		}
 		now := time.Now()
-		a.processorDelay.Store(max(int64(now.Sub(due)), int64(processorDelayDecay*float64(a.processorDelay.Load()))))
+		measured := now.Sub(due)
+		a.processorDelay.Store(int64(min(measured, previous)))
+		previous = measured
 		timer.Reset(processorProbeInterval)
 		due = now.Add(processorProbeInterval)
 	}
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.options.Registry.Register(newSearchMetrics(g.searches)); err != nil {
+		return err
+	}
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/route"
@@ -42,6 +43,8 @@
 	targets       map[string]time.Duration      // by class
 	isSplit       map[string]bool               // services of searches that are split between hosts
 	largestSplit  int                           // services of the largest split search
+	// weights holds the customers' shares of scarce capacity, by name.
+	weights map[string]float64
 	// warmups holds the services whose servers get limited load while they are cold.
 	warmups map[string]eligible.Warmup
 }
@@ -62,6 +65,7 @@
 		singleService: make(map[string]*snapshot.Snapshot),
 		targets:       make(map[string]time.Duration),
 		isSplit:       make(map[string]bool),
+		weights:       weightsOf(config.Customers),
 		warmups:       make(map[string]eligible.Warmup),
 	}
 	for _, service := range config.Services {
@@ -127,3 +131,37 @@
 func className(r *route.Route) string {
 	return fmt.Sprintf("p%d-%v", r.Priority, r.TargetLatency)
 }
+
+// weightsOf returns the weights of the customers: as configured, else by their limits, which
+// follow their usual rates. A customer without a limit weighs as much as the mean of those
+// with one.
+func weightsOf(customers []customer.Account) map[string]float64 {
+	weights := make(map[string]float64, len(customers))
+	sum, limited := 0.0, 0.0
+	for i := range customers {
+		if limit := customers[i].Limit; limit.Bounded() {
+			sum += limit.PerSecond
+			limited++
+		}
+	}
+	for i := range customers {
+		c := &customers[i]
+		switch {
+		case c.Weight > 0:
+			weights[c.Name] = c.Weight
+		case c.Limit.Bounded():
+			weights[c.Name] = c.Limit.PerSecond / (sum / limited)
+		default:
+			weights[c.Name] = 1
+		}
+	}
+	return weights
+}
+
+// weight returns the customer's weight; 1 if it is not known.
+func (c *configuration) weight(name string) float64 {
+	if weight, known := c.weights[name]; known {
+		return weight
+	}
+	return 1
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,8 @@
 	Merged *Merged
 	// RetryAfter is when a request that has not run may be sent again.
 	RetryAfter time.Duration
+	// Reason is why a search was refused under load, for logs; empty otherwise.
+	Reason string
 }
 
 // Merged is the combined answer of several shards.
@@ -271,7 +273,8 @@
 func (g *Gateway) logRefusal(q Query, c *configuration, a *Answer) {
 	g.log.Info("request refused", zap.String("request", q.Forward.AttemptID), zap.String("host", q.Forward.Host),
 		zap.String("path", q.Path), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
-		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter))
+		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter),
+		zap.String("reason", a.Reason))
 }
 
 func versionOf(c *configuration) uint64 {
@@ -292,6 +295,9 @@
 	if a.Detail != "" {
 		fields = append(fields, zap.String("detail", a.Detail), zap.Duration("retry_after", a.RetryAfter))
 	}
+	if a.Reason != "" {
+		fields = append(fields, zap.String("reason", a.Reason))
+	}
 	if len(a.Missing) > 0 && a.Code != result.Overloaded {
 		fields = append(fields, zap.Array("missing", missingList(a.Missing)))
 	}
--- a/result/result.go
+++ b/result/result.go
@@ -157,6 +157,8 @@
 type Error struct {
 	Code   Code
 	Detail string
+	// Reason is a short name of the cause for logs and metrics; empty if the code says it.
+	Reason string
 	// RetryAfter is the delay before a retry; zero: not stated.
 	RetryAfter time.Duration
 	// Hosts are the addresses of other entry hosts to use.
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -123,23 +124,20 @@
 	return fmt.Sprintf("%d shards would be late, wait+run in ms:%s", late, text.String())
 }
 
-// minRetryShare and maxRetryShare bound the retry delay of a refused query, as
-// parts of the time that it has left: late enough for a queue to drain, and
-// early enough for the retry to be in time.
-const (
-	minRetryShare = 0.10
-	maxRetryShare = 0.30
-)
-
-// RetryAfter is the retry delay of a query that was refused at now. It is
-// spread by the request id, so that a burst is not retried as one.
+// RetryAfter is the retry delay of a query that was refused at now, where the pace of the
+// class is not known. It is spread by the request id, so that a burst is not retried as one.
 func RetryAfter(plan *Plan, now time.Time) time.Duration {
 	jitter := float64(binary.BigEndian.Uint32(plan.Request[12:])) / (1 << 32)
-	share := minRetryShare + jitter*(maxRetryShare-minRetryShare)
-	return time.Duration(share * float64(plan.Deadline.Sub(now)))
+	left := plan.Deadline.Sub(now)
+	return admit.SpreadRetry(left, left, jitter)
 }
 
 // refuse ends the query before any leg is sent.
 func (r *run) refuse(detail string) {
-	r.query.Refuse(result.Overloaded, detail, RetryAfter(&r.spec.Plan, r.started))
+	delay := RetryAfter(&r.spec.Plan, r.started)
+	if r.spec.RetryAfter != nil {
+		delay = r.spec.RetryAfter(r.started)
+	}
+	r.query.Refuse(result.Overloaded, detail, delay)
+	r.query.Answer().Reason = admit.ReasonForecast
 }
--- a/scatter/answer.go
+++ b/scatter/answer.go
@@ -46,6 +46,8 @@
 	Attempts   int
 	Hedges     int
 	RetryAfter time.Duration
+	// Reason is why the query was refused before any leg was sent, for logs and metrics.
+	Reason string
 	// Legs are the latencies of the legs, for the admission of later queries.
 	Legs []LegTiming
 	// NeedsRestart: the query ended early to be restarted, see Plan.Restartable.
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -40,6 +40,9 @@
 	Body        []byte
 	// MaxServers bounds the backend servers that may run a leg; 0: no bound.
 	MaxServers int
+	// RetryAfter returns the retry delay of a refusal, by the measured pace of the class; nil
+	// if that is not known.
+	RetryAfter func(now time.Time) time.Duration
 	// Forward is set for a request that is forwarded as its caller sent it.
 	Forward *forward.Request
 	// Canary is set if the query must run as a canary. It is asked with the service that the
