--- a/admit/admit.go
+++ b/admit/admit.go
@@ -53,6 +53,7 @@
 	ReasonProcessor = "processor" // work waits too long for this host's processor
 	ReasonShare     = "share"     // the caller is over its share
 	ReasonForecast  = "forecast"  // the forecasts of the services' homes
+	ReasonSilent    = "silent"    // too many services answer nothing
 	ReasonWait      = "wait"      // the measured wait of requests without a target
 )
 
@@ -99,7 +100,7 @@
 // overShareQueueShare is the part of the usual queue time that requests of callers over
 // their share are admitted with. It leaves room in the queues for the other callers, and
 // keeps the slots busy if there are no others.
-const overShareQueueShare = 0.35
+const overShareQueueShare = 0.25
 
 // shortRefusedShare is the part of a class's requests that must be refused lately for its
 // capacity to count as short: nobody is cut for a queue that is long for a moment.
@@ -235,7 +236,9 @@
 	permit.class.deadlines.remove(permit.deadline)
 	switch {
 	case completion.NotRun:
-		permit.class.refused.add(now, 1)
+		if completion.Refused != ReasonSilent {
+			permit.class.refused.add(now, 1) // capacity is short
+		}
 		if completion.Refused != "" {
 			permit.class.refusals[completion.Refused]++
 		}
--- a/admit/latencylimit.go
+++ b/admit/latencylimit.go
@@ -27,15 +27,16 @@
 	nearLimitShare = 0.75
 	// lessUrgentShare is the part of the processor delay of a more urgent class up to which
 	// less urgent requests are admitted.
-	lessUrgentShare = 0.6
+	lessUrgentShare = 0.7
 	// delaySmoothing is the weight of one request in the delay: a burst cuts the limit after
 	// two or three, and one outlier does not.
 	delaySmoothing = 0.25
 	// limitExpiry removes a limit that was not reached for this long, so that a
 	// burst that has ended refuses nothing.
 	limitExpiry = time.Second
-	// lightCallerHeadroom is how far callers under their share may exceed the limit.
-	lightCallerHeadroom = 1.5
+	// lightCallerHeadroom is how far callers under their share may exceed the limit and the
+	// processor delay.
+	lightCallerHeadroom = 3
 )
 
 // latencyLimit bounds the requests of one class in flight by the delay of those that have
@@ -91,15 +92,16 @@
 	l.budget = request.Target.Sub(now)
 	inFlight := cl.inFlight()
 	left := request.Deadline.Sub(now)
-	if inFlight >= minLatencyLimit && c.isAnyLimited() && request.ProcessorDelay > c.maxProcessorDelay(now, cl) {
-		l.reachedAt = now
-		return c.refuseSearch(now, cl, left, ReasonProcessor, "work waits %v for this host's processor", request.ProcessorDelay.Round(time.Millisecond))
+	if c.isAnyLimited() {
+		if refusal := c.checkProcessor(now, cl, requester, request, left); refusal != nil {
+			return refusal
+		}
 	}
 	if !l.near(inFlight) {
 		return nil
 	}
 	l.reachedAt = now
-	if cl.callers.isOverShare(now, requester) {
+	if cl.isShort(now) && cl.callers.isOverScarceShare(now, requester) {
 		return c.refuseOverShare(now, cl, requester, left)
 	}
 	bound := l.limit
@@ -112,6 +114,26 @@
 	return c.refuseSearch(now, cl, left, ReasonLimit, "%d requests of class %s in flight, as many as are answered in time", inFlight, cl.name)
 }
 
+// checkProcessor refuses a request whose work would wait too long for this host's processor;
+// one of a caller over its share earlier, and one of a caller under its share later.
+func (c *Controller) checkProcessor(now time.Time, cl *class, requester *caller, request *Request, left time.Duration) *result.Error {
+	maxDelay := c.maxProcessorDelay(now, cl)
+	if request.ProcessorDelay <= seconds(overShareQueueShare*maxDelay.Seconds()) {
+		return nil
+	}
+	cl.latencyLimit.reachedAt = now
+	if cl.isShort(now) && cl.callers.isOverScarceShare(now, requester) {
+		return c.refuseOverShare(now, cl, requester, left)
+	}
+	if cl.callers.isUnderShare(now, requester) {
+		maxDelay = seconds(max(lightCallerHeadroom*maxDelay.Seconds(), maxDelayShare*cl.latencyLimit.budget.Seconds()))
+	}
+	if request.ProcessorDelay <= maxDelay || cl.inFlight() < minLatencyLimit {
+		return nil
+	}
+	return c.refuseSearch(now, cl, left, ReasonProcessor, "work waits %v for this host's processor", request.ProcessorDelay.Round(time.Millisecond))
+}
+
 func (c *Controller) refuseSearch(now time.Time, cl *class, left time.Duration, reason, format string, args ...any) *result.Error {
 	refusal := result.Errorf(result.Overloaded, format, args...)
 	refusal.Reason, refusal.RetryAfter = reason, c.spreadRetries(now, cl, left)
@@ -164,6 +186,9 @@
 	// queueQuantile of the legs' waits is that of a request: a few slow or lost services
 	// don't raise it. lateQueueQuantile is that of a late one.
 	queueQuantile, lateQueueQuantile = 0.75, 0.9
+	// lateQueueWeight is how much of the wait at lateQueueQuantile counts: an answer at its
+	// target may have waited at its slowest services for most of that time.
+	lateQueueWeight = 0.5
 	// minKnownLegs is the part of the legs of which the wait must be known; of those that
 	// were cancelled it is not.
 	minKnownLegs = 0.25
@@ -187,11 +212,11 @@
 		return latency // most legs still waited while others waited long
 	}
 	slices.Sort(waits)
-	quantile := queueQuantile
+	wait := waits[int(queueQuantile*float64(len(waits)))]
 	if late {
-		quantile = lateQueueQuantile
+		wait = max(wait, time.Duration(lateQueueWeight*float64(waits[int(lateQueueQuantile*float64(len(waits)))])))
 	}
-	return waits[int(quantile*float64(len(waits)))]
+	return wait
 }
 
 // cutFor cuts the limits of the less urgent classes that compete with a delayed request, or
--- a/bench/result.go
+++ b/bench/result.go
@@ -28,6 +28,8 @@
 	// LateReplies counts replies for legs or queries that had ended.
 	LateReplies int
 	FailedLegs  map[result.Code]int
+	// RefusedFor counts the queries refused by package admit, by reason.
+	RefusedFor map[string]int
 }
 
 // Group holds the figures of a set of queries.
@@ -62,7 +64,7 @@
 	return &Result{
 		Case: c.Name, Policy: policy, Seed: seed, Length: c.Length - c.Warmup,
 		All: newGroup(), Classes: make(map[int]*Group), Callers: make(map[string]*Group),
-		FailedLegs: make(map[result.Code]int),
+		FailedLegs: make(map[result.Code]int), RefusedFor: make(map[string]int),
 	}
 }
 
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -27,6 +27,9 @@
 // Admission is the decision on a query before any of its legs is sent.
 type Admission struct {
 	Refuse bool
+	// Silent is set if too many services are unresponsive, whatever their queues: capacity is
+	// not short then.
+	Silent bool
 	// Optional marks the shards that can't answer in time; nil: all can.
 	Optional []bool
 }
@@ -40,7 +43,7 @@
 func DecideAdmission(plan *Plan, left time.Duration, forecasts []leg.Forecast) Admission {
 	spare := len(forecasts) - RequiredShards(plan.MinCoverage, len(forecasts))
 	var admission Admission
-	late := 0
+	late, silent := 0, 0
 	queueTimeShare := maxQueueTimeShare
 	if plan.QueueShare > 0 {
 		queueTimeShare *= plan.QueueShare
@@ -50,8 +53,11 @@
 			admission.markOptional(i, len(forecasts))
 			late++
 		}
+		if f.Unresponsive {
+			silent++
+		}
 	}
-	admission.Refuse = late > spare
+	admission.Refuse, admission.Silent = late > spare, silent > spare
 	for i, f := range forecasts {
 		if late < spare && f.ServiceTime > left && !admission.isOptional(i) {
 			admission.markOptional(i, len(forecasts))
@@ -81,7 +87,11 @@
 	if !admission.Refuse {
 		return true
 	}
-	r.refuse(r.describeLate(admission, forecasts))
+	reason := admit.ReasonForecast
+	if admission.Silent {
+		reason = admit.ReasonSilent
+	}
+	r.refuse(reason, r.describeLate(admission, forecasts))
 	return false
 }
 
@@ -133,11 +143,11 @@
 }
 
 // refuse ends the query before any leg is sent.
-func (r *run) refuse(detail string) {
+func (r *run) refuse(reason, detail string) {
 	delay := RetryAfter(&r.spec.Plan, r.started)
 	if r.spec.RetryAfter != nil {
 		delay = r.spec.RetryAfter(r.started)
 	}
 	r.query.Refuse(result.Overloaded, detail, delay)
-	r.query.Answer().Reason = admit.ReasonForecast
+	r.query.Answer().Reason = reason
 }
