--- a/gateway/config.go
+++ b/gateway/config.go
@@ -47,6 +47,8 @@
 	targets       map[string]time.Duration      // by class
 	isSplit       map[string]bool               // services of searches that are split between hosts
 	largestSplit  int                           // services of the largest split search
+	// weights holds the customers' shares of scarce capacity, by name.
+	weights map[string]float64
 	// warmups holds the services whose servers get limited load while they are cold.
 	warmups map[string]eligible.Warmup
 	// customers is nil if the configuration lists none.
@@ -77,6 +79,7 @@
 		singleService: make(map[string]*snapshot.Snapshot),
 		targets:       make(map[string]time.Duration),
 		isSplit:       make(map[string]bool),
+		weights:       weightsOf(config.Customers),
 		warmups:       make(map[string]eligible.Warmup),
 		keys:          keys,
 	}
@@ -176,11 +179,15 @@
 // classOf returns the class of a customer's requests on a route; the customer may be nil. The
 // customer's priority takes precedence over that of the route.
 func classOf(r *route.Route, who *customer.Customer) string {
-	priority := r.Priority
+	return className(priorityOf(r, who), r.TargetLatency)
+}
+
+// priorityOf returns the priority of a request: the customer's, if it has one, or the route's.
+func priorityOf(r *route.Route, who *customer.Customer) int {
 	if who != nil && who.Priority != nil {
-		priority = *who.Priority
+		return *who.Priority
 	}
-	return className(priority, r.TargetLatency)
+	return r.Priority
 }
 
 // className groups requests by priority and target, so that hundreds of routes share a few
@@ -188,3 +195,37 @@
 func className(priority int, target time.Duration) string {
 	return fmt.Sprintf("p%d-%v", priority, target)
 }
+
+// weightsOf returns the weights of the customers: as configured, else by their limits, which
+// follow their usual rates. A customer without a limit weighs as much as the mean of those
+// with one.
+func weightsOf(customers []customer.Account) map[string]float64 {
+	weights := make(map[string]float64, len(customers))
+	sum, limited := 0.0, 0.0
+	for i := range customers {
+		if limit := customers[i].Limit; limit.Bounded() {
+			sum += limit.PerSecond
+			limited++
+		}
+	}
+	for i := range customers {
+		c := &customers[i]
+		switch {
+		case c.Weight > 0:
+			weights[c.Name] = c.Weight
+		case c.Limit.Bounded():
+			weights[c.Name] = c.Limit.PerSecond / (sum / limited)
+		default:
+			weights[c.Name] = 1
+		}
+	}
+	return weights
+}
+
+// weight returns the customer's weight; 1 if it is not known.
+func (c *configuration) weight(name string) float64 {
+	if weight, known := c.weights[name]; known {
+		return weight
+	}
+	return 1
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,7 @@
 	remoteForecasts *remoteForecasts
 	crashDetector   *crashDetector
 	quotas          *quotas
+	searches        *searchAdmission
 	// runCtx ends after the planned stop, and links to peers end with it.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
@@ -181,6 +182,7 @@
 	g.newestIncarnations = newest
 	g.reloadable.Store(&options.ReloadableOptions)
 	g.budgetRoles.Store(&initialBudgetRoles)
+	g.searches = newSearchAdmission(options.Now)
 	g.runCtx, g.cancelRun = context.WithCancel(context.Background())
 	if err := g.build(); err != nil {
 		g.cancelRun()
@@ -243,6 +245,7 @@
 	run("registration", g.register)
 	run("load", g.measureLoad)
 	run("limits", g.quotas.run)
+	run("processor", g.searches.measureProcessorDelay)
 	run("stop", func(runCtx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -300,6 +303,7 @@
 	}
 	g.inForce.Store(next)
 	g.homes.Refresh()
+	g.searches.controller.Reconfigure(next.compiled)
 	g.crashDetector.registry.Reconfigure(next.compiled)
 	g.configureWarming(next)
 	g.quotas.configure(config.Customers)
--- a/scatter/admission.go
+++ b/scatter/admission.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -26,6 +27,9 @@
 // Admission is the decision on a query before any of its legs is sent.
 type Admission struct {
 	Refuse bool
+	// Silent is set if too many services are unresponsive, whatever their queues: capacity is
+	// not short then.
+	Silent bool
 	// Optional marks the shards that can't answer in time; nil: all can.
 	Optional []bool
 }
@@ -39,14 +43,21 @@
 func DecideAdmission(plan *Plan, left time.Duration, forecasts []leg.Forecast) Admission {
 	spare := len(forecasts) - RequiredShards(plan.MinCoverage, len(forecasts))
 	var admission Admission
-	late := 0
+	late, silent := 0, 0
+	queueTimeShare := maxQueueTimeShare
+	if plan.QueueShare > 0 {
+		queueTimeShare *= plan.QueueShare
+	}
 	for i, f := range forecasts {
-		if f.Unresponsive || f.QueueTime > 0 && f.QueueTime > time.Duration(maxQueueTimeShare*float64(left-f.ServiceTime)) {
+		if f.Unresponsive || f.QueueTime > 0 && f.QueueTime > time.Duration(queueTimeShare*float64(left-f.ServiceTime)) {
 			admission.markOptional(i, len(forecasts))
 			late++
 		}
+		if f.Unresponsive {
+			silent++
+		}
 	}
-	admission.Refuse = late > spare
+	admission.Refuse, admission.Silent = late > spare, silent > spare
 	for i, f := range forecasts {
 		if late < spare && f.ServiceTime > left && !admission.isOptional(i) {
 			admission.markOptional(i, len(forecasts))
@@ -76,7 +87,11 @@
 	if !admission.Refuse {
 		return true
 	}
-	r.refuse(r.describeLate(admission, forecasts))
+	reason := admit.ReasonForecast
+	if admission.Silent {
+		reason = admit.ReasonSilent
+	}
+	r.refuse(reason, r.describeLate(admission, forecasts))
 	return false
 }
 
@@ -119,23 +134,20 @@
 	return fmt.Sprintf("%d shards would be late, wait+run in ms:%s", late, text.String())
 }
 
-// minRetryShare and maxRetryShare bound the retry delay of a refused query, as
-// parts of the time that it has left: late enough for a queue to drain, and
-// early enough for the retry to be in time.
-const (
-	minRetryShare = 0.10
-	maxRetryShare = 0.30
-)
-
-// RetryAfter is the retry delay of a query that was refused at now. It is
-// spread by the request id, so that a burst is not retried as one.
+// RetryAfter is the retry delay of a query that was refused at now, where the pace of the
+// class is not known. It is spread by the request id, so that a burst is not retried as one.
 func RetryAfter(plan *Plan, now time.Time) time.Duration {
 	jitter := float64(binary.BigEndian.Uint32(plan.Request[12:])) / (1 << 32)
-	share := minRetryShare + jitter*(maxRetryShare-minRetryShare)
-	return time.Duration(share * float64(plan.Deadline.Sub(now)))
+	left := plan.Deadline.Sub(now)
+	return admit.SpreadRetry(left, left, jitter)
 }
 
 // refuse ends the query before any leg is sent.
-func (r *run) refuse(detail string) {
-	r.query.Refuse(result.Overloaded, detail, RetryAfter(&r.spec.Plan, r.started))
+func (r *run) refuse(reason, detail string) {
+	delay := RetryAfter(&r.spec.Plan, r.started)
+	if r.spec.RetryAfter != nil {
+		delay = r.spec.RetryAfter(r.started)
+	}
+	r.query.Refuse(result.Overloaded, detail, delay)
+	r.query.Answer().Reason = reason
 }
