--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -36,7 +36,7 @@
 	is.Equal(a.controller.Stats().InFlight, 0)
 	is.Equal(a.controller.Stats().Classes[0].Refusals[admit.ReasonForecast], 1)
 	is.True(spec.RetryAfter(now) <= 600*time.Millisecond) // callers wait a third of their time
-	c.customers = nil // deployments without customers are served as before
+	c.customers = nil                                     // deployments without customers are served as before
 	permit, refusal = a.admit(c, 1, &spec)
 	is.True(permit == nil && refusal == nil)
 }
