--- a/admit/admit.go
+++ b/admit/admit.go
@@ -10,6 +10,7 @@
 package admit
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -30,7 +31,14 @@
 	Weight   float64 // of the caller against the others of its class
 	Class    int     // position in the bundle's classes
 	Deadline time.Time
-	Bytes    int // of the request's body
+	// Target is when the answer loses most of its value. Requests with a target are
+	// bounded by the latency limit of their class instead of by their wait.
+	Target time.Time
+	// Priority is that of the class; 0 is the most urgent.
+	Priority int
+	// ProcessorDelay is how long work waits for this host's processor.
+	ProcessorDelay time.Duration
+	Bytes          int // of the request's body
 	// Services has one entry for each leg, from the pinned snapshot.
 	Services []string
 	// MinLegs is how many legs must be answered for there to be an answer;
@@ -38,6 +46,17 @@
 	MinLegs int
 }
 
+// Reasons of refusals, for metrics and logs.
+const (
+	ReasonBounds    = "bounds"    // the host's bounds on requests and bytes
+	ReasonLimit     = "limit"     // the latency limit of the class
+	ReasonProcessor = "processor" // work waits too long for this host's processor
+	ReasonShare     = "share"     // the caller is over its share
+	ReasonForecast  = "forecast"  // the forecasts of the services' homes
+	ReasonSilent    = "silent"    // too many services answer nothing
+	ReasonWait      = "wait"      // the measured wait of requests without a target
+)
+
 // LegTiming is the latency of one leg of an admitted request.
 type LegTiming struct {
 	Service string
@@ -55,16 +74,49 @@
 	Answered bool
 	// Abandoned: the caller went away, so the request says nothing about load.
 	Abandoned bool
-	Legs      []LegTiming
+	// NotRun: it was refused after its admission, before it used anything.
+	NotRun bool
+	// Refused is the reason if it was refused after its admission.
+	Refused string
+	Legs    []LegTiming
+	// ProcessorDelay is how long work waited for this host's processor lately.
+	ProcessorDelay time.Duration
 }
 
 // Permit is the permission of one admitted request to run.
 type Permit struct {
 	class    *class
+	caller   *caller
 	admitted time.Time
 	deadline time.Time
+	target   time.Time
+	inFlight int // of the class at its admission, itself included
 	bytes    int
-	done     bool
+	// overShare: its caller has more than an equal share of the class.
+	overShare bool
+	done      bool
+}
+
+// overShareQueueShare is the part of the usual queue time that requests of callers over
+// their share are admitted with. It leaves room in the queues for the other callers, and
+// keeps the slots busy if there are no others.
+const overShareQueueShare = 0.25
+
+// shortRefusedShare is the part of a class's requests that must be refused lately for its
+// capacity to count as short: nobody is cut for a queue that is long for a moment.
+const shortRefusedShare = 0.05
+
+func (cl *class) isShort(now time.Time) bool {
+	refused := cl.refused.recent(now)
+	return refused >= 1 && refused > shortRefusedShare*cl.admitted.recent(now)
+}
+
+// QueueShare returns the part of the usual queue time that the request may be forecast.
+func (p *Permit) QueueShare() float64 {
+	if p != nil && p.overShare {
+		return overShareQueueShare
+	}
+	return 1
 }
 
 // Controller is the admission of one entry host.
@@ -114,10 +166,15 @@
 	}
 	c.control(now)
 	cl := c.classes[request.Class]
+	cl.priority, cl.limited = request.Priority, !request.Target.IsZero()
 	requester := cl.callers.recordArrival(now, request.Caller, request.Weight)
 	if refusal := c.check(now, cl, requester, request); refusal != nil {
 		cl.refused.add(now, 1)
 		requester.refused.add(now, 1)
+		if refusal.Reason == "" {
+			refusal.Reason = ReasonWait
+		}
+		cl.refusals[refusal.Reason]++
 		return nil, refusal
 	}
 	return c.grant(now, cl, requester, request), nil
@@ -131,10 +188,13 @@
 	if refusal := c.checkBounds(now, cl, request.Bytes); refusal != nil {
 		return refusal
 	}
+	if cl.limited {
+		return c.checkLimit(now, cl, requester, &request)
+	}
 	if refusal := c.checkWait(now, cl, requester, request); refusal != nil {
 		return refusal
 	}
-	return c.checkShare(now, cl, requester)
+	return c.checkShare(now, cl, requester, request.Deadline.Sub(now))
 }
 
 // checkWait refuses a request that would wait too long. It lets one through when
@@ -158,7 +218,7 @@
 	cl.deadlines.insert(request.Deadline)
 	requester.admitted.add(now, 1)
 	cl.admitted.add(now, 1)
-	return &Permit{class: cl, admitted: now, deadline: request.Deadline, bytes: request.Bytes}
+	return &Permit{class: cl, caller: requester, admitted: now, deadline: request.Deadline, target: request.Target, inFlight: cl.inFlight(), bytes: request.Bytes, overShare: cl.isShort(now) && cl.callers.isOverShare(now, requester)}
 }
 
 // Release takes a permit back and records how the request ended. A second call
@@ -174,16 +234,32 @@
 	c.bytes -= permit.bytes
 	permit.class.bytes -= permit.bytes
 	permit.class.deadlines.remove(permit.deadline)
-	if !completion.Abandoned {
-		c.record(now, permit.class, completion)
+	switch {
+	case completion.NotRun:
+		if completion.Refused != ReasonSilent {
+			permit.class.refused.add(now, 1) // capacity is short
+		}
+		if completion.Refused != "" {
+			permit.class.refusals[completion.Refused]++
+		}
+		permit.caller.admitted.add(now, -1)
+		permit.class.admitted.add(now, -1)
+	case !completion.Abandoned:
+		c.record(now, permit, completion)
 	}
 	c.control(now)
 }
 
-func (c *Controller) record(now time.Time, cl *class, completion Completion) {
+func (c *Controller) record(now time.Time, permit *Permit, completion Completion) {
+	cl := permit.class
 	if completion.Answered {
 		cl.answered++
 	}
+	if !permit.target.IsZero() {
+		cl.ended.add(now, 1)
+		c.recordDelay(now, permit, &completion)
+		return
+	}
 	for i := range completion.Legs {
 		leg := &completion.Legs[i]
 		cl.legs.add(now, leg)
@@ -210,6 +286,10 @@
 	Pressure float64
 	// Callers is the number of active callers.
 	Callers int
+	// Refusals counts the refused requests by reason since the start.
+	Refusals map[string]int
+	// Limit is the latency limit on requests in flight; 0: none.
+	Limit float64
 }
 
 // Stats returns the current state.
@@ -220,7 +300,7 @@
 	for _, cl := range c.classes {
 		stats.Classes = append(stats.Classes, ClassStats{
 			Name: cl.name, InFlight: cl.inFlight(), Bytes: cl.bytes,
-			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(),
+			Capacity: cl.capacity, Pressure: cl.pressure.value(), Callers: cl.callers.len(), Limit: cl.latencyLimit.limit, Refusals: maps.Clone(cl.refusals),
 		})
 	}
 	return stats
--- a/admit/class.go
+++ b/admit/class.go
@@ -4,20 +4,25 @@
 
 // class is the state of one class of requests.
 type class struct {
-	name      string
-	reserved  float64   // share of the host's bounds, 0 to 1
-	bytes     int       // of the request bodies in flight
-	deadlines deadlines // of the requests in flight
-	callers   *callers
-	admitted  decayingRate
-	refused   decayingRate
-	pressure  pressure
-	legs      legLatencies
+	name         string
+	reserved     float64   // share of the host's bounds, 0 to 1
+	priority     int       // 0 is the most urgent
+	limited      bool      // its requests have targets
+	bytes        int       // of the request bodies in flight
+	deadlines    deadlines // of the requests in flight
+	callers      *callers
+	admitted     decayingRate
+	ended        decayingRate // requests with a target
+	refused      decayingRate
+	pressure     pressure
+	legs         legLatencies
+	refusals     map[string]int // by reason, since the start
+	latencyLimit latencyLimit
 	capacityEstimator
 }
 
 func newClass(name string) *class {
-	return &class{name: name, callers: newCallers(), legs: newLegLatencies(), capacityEstimator: newCapacityEstimator()}
+	return &class{name: name, callers: newCallers(), legs: newLegLatencies(), refusals: make(map[string]int), capacityEstimator: newCapacityEstimator()}
 }
 
 func (cl *class) inFlight() int { return len(cl.deadlines) }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,6 +56,8 @@
 	Merged *Merged
 	// RetryAfter is when a request that has not run may be sent again.
 	RetryAfter time.Duration
+	// Reason is why a search was refused under load, for logs; empty otherwise.
+	Reason string
 }
 
 // Merged is the combined answer of several shards.
@@ -141,12 +143,22 @@
 	}
 	querySpec := g.querySpec(c, r, service, q, who)
 	querySpec.Fingerprint = uint64(fingerprint)
+	permit, refusal := g.searches.admit(c, priorityOf(r, who), &querySpec)
+	if refusal != nil {
+		if admission.Canary {
+			g.crashDetector.suspects.EndCanary(fingerprint)
+		}
+		g.logRefusal(q, c, refusal)
+		g.metrics.Request(r.Host, querySpec.Class, refusal.Code, g.options.Now().Sub(q.Arrived))
+		return refusal
+	}
 	var answer *scatter.Answer
 	if admission.Canary {
 		answer = g.runCanary(ctx, querySpec, fingerprint)
 	} else {
 		answer = g.coordinators.of(&querySpec).Run(ctx, querySpec)
 	}
+	g.searches.release(permit, answer)
 	if len(answer.Parts) > 0 {
 		g.crashDetector.suspects.RecordAnswer(g.options.Now(), fingerprint)
 	}
@@ -269,7 +281,8 @@
 func (g *Gateway) logRefusal(q Query, c *configuration, a *Answer) {
 	g.log.Info("request refused", zap.String("request", q.Forward.AttemptID), zap.String("host", q.Forward.Host),
 		zap.String("path", q.Path), logCustomer(q.Forward), logKey(q.credential), zap.Stringer("code", a.Code), zap.String("detail", a.Detail),
-		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter))
+		zap.Uint64("config", versionOf(c)), zap.Duration("retry_after", a.RetryAfter),
+		zap.String("reason", a.Reason))
 }
 
 func versionOf(c *configuration) uint64 {
@@ -290,6 +303,9 @@
 	if a.Detail != "" {
 		fields = append(fields, zap.String("detail", a.Detail), zap.Duration("retry_after", a.RetryAfter))
 	}
+	if a.Reason != "" {
+		fields = append(fields, zap.String("reason", a.Reason))
+	}
 	if len(a.Missing) > 0 && a.Code != result.Overloaded {
 		fields = append(fields, zap.Array("missing", missingList(a.Missing)))
 	}
