--- a/home/attempt_end.go
+++ b/home/attempt_end.go
@@ -52,11 +52,11 @@
 	}
 	spent := now.Sub(a.started)
 	c := &h.classes[a.leg.Class]
-	a.server.serviceTimes[c.index].add(now, spent, completed, maxServerWeight)
+	a.server.serviceTimes[c.index].add(now, spent, completed)
 	if !h.isHealthy(a.server, c, now) {
 		return
 	}
-	c.serviceTime.add(now, spent, completed, maxClassWeight)
+	c.serviceTime.add(now, spent, completed)
 	if !completed && a.hedge {
 		return
 	}
@@ -100,7 +100,7 @@
 	s.faultRate.record(now, true)
 	s.assumeRestarted(now, end)
 	if end.Fault == backend.FaultDeadline || end.Fault == backend.FaultUnresponsive {
-		s.serviceTimes[a.leg.Class].add(now, now.Sub(a.started), false, maxServerWeight)
+		s.serviceTimes[a.leg.Class].add(now, now.Sub(a.started), false)
 	}
 	if !s.recordFault() {
 		return
--- a/home/place.go
+++ b/home/place.go
@@ -25,14 +25,12 @@
 
 // place chooses the server with the earliest expected finish for a leg with legsAhead
 // others before it in the queue, or nil if the leg should wait. A free but slow server
-// stays idle as long as waiting for a faster one ends sooner: the legs ahead take the slots
-// of all busy servers as these become free, so that where a third of the servers are slow
-// and the others saturated, a leg doesn't go to a slow one too soon. It doesn't allocate.
+// stays idle as long as waiting for a faster one ends sooner. It doesn't allocate.
 func (h *Home) place(c *class, l *leg, legsAhead int, now time.Time) *server {
 	prior := c.meanSeconds(now)
 	usableCount := h.usableServersFor(l, now)
 	var best *server
-	var bestFinish, bestSeconds, busySeconds, busyRate float64
+	var bestFinish, bestSeconds, busyFinish, busySeconds float64
 	for _, s := range h.servers {
 		if !s.usable(now) || l.excludes(s, usableCount) {
 			continue
@@ -43,9 +41,9 @@
 			continue
 		}
 		if len(s.running) >= s.capacity(c.longWork, h.anyWarm, now) {
-			busyRate += float64(limit) / expected
-			if busySeconds == 0 || expected < busySeconds {
-				busySeconds = expected
+			finish := expected * (1 + float64(legsAhead+1)/float64(limit))
+			if busySeconds == 0 || finish < busyFinish {
+				busyFinish, busySeconds = finish, expected
 			}
 			continue
 		}
@@ -54,8 +52,7 @@
 			best, bestFinish, bestSeconds = s, finish, expected
 		}
 	}
-	if best != nil && busySeconds > 0 && bestSeconds > slowServerRatio*busySeconds &&
-		bestSeconds > busySeconds+float64(legsAhead+1)/busyRate {
+	if best != nil && busySeconds > 0 && bestSeconds > slowServerRatio*busySeconds && bestSeconds > busyFinish {
 		return nil
 	}
 	return best
--- a/home/service_time.go
+++ b/home/service_time.go
@@ -9,12 +9,9 @@
 	// serviceTimeHalfLife is the half-life of the observations of a server: a server
 	// that was slow is tried again within seconds of recovering.
 	serviceTimeHalfLife = 2 * time.Second
-	// maxServerWeight and maxClassWeight cap the weight of past observations, so that a
-	// mean follows a change within as many requests. Where a server turns 5 to 12 times
-	// slower, each leg sent to it before that shows is late, and one in 20 legs decides a
-	// search; the mean of a class serves as a measure and needs less noise.
-	maxServerWeight = 4
-	maxClassWeight  = 32
+	// maxMeanWeight caps the weight of past observations, so that the mean follows a
+	// change within as many requests.
+	maxMeanWeight = 32
 	// priorWeight is the weight of the service's mean at a server, in observations.
 	priorWeight = 1
 	// minMeanWeight is the weight from which a mean is used to judge other servers.
@@ -30,17 +27,17 @@
 	at    time.Time
 }
 
-// add adds a request's time, with past observations weighing at most maxWeight. completed
-// is false for a cancelled request, whose age is only a lower bound.
-func (m *meanTime) add(now time.Time, spent time.Duration, completed bool, maxWeight float64) {
+// add adds a request's time. completed is false for a cancelled request, whose age
+// is only a lower bound.
+func (m *meanTime) add(now time.Time, spent time.Duration, completed bool) {
 	m.decay(now)
 	m.total += spent.Seconds()
 	if completed {
 		m.count++
 	}
-	if m.count > maxWeight {
-		m.total *= maxWeight / m.count
-		m.count = maxWeight
+	if m.count > maxMeanWeight {
+		m.total *= maxMeanWeight / m.count
+		m.count = maxMeanWeight
 	}
 }
 
