--- a/quota/accounts.go
+++ b/quota/accounts.go
@@ -44,6 +44,7 @@
 // account is what this host knows of one customer's limit.
 type account struct {
 	grants   []grant
+	stock    int // the credit when nothing of it is used
 	credit   int // requests that may be admitted without a grant
 	owed     int // used of the credit, and not yet replaced by the grantor
 	waiting  int // requests that wait for an answer
@@ -105,7 +106,7 @@
 	}
 	if !entitled && a.entitled {
 		for _, c := range a.accounts {
-			c.credit, c.owed = 0, 0
+			c.stock, c.credit, c.owed = 0, 0, 0
 		}
 	}
 	a.entitled = entitled
@@ -194,13 +195,27 @@
 func (a *Accounts) account(now time.Time, customer string) *account {
 	c := a.accounts[customer]
 	if c == nil {
-		c = &account{credit: a.maxCredit(now)}
+		c = &account{}
 		a.accounts[customer] = c
 	}
+	a.updateStock(now, c)
 	c.usedAt = now
 	return c
 }
 
+// updateStock follows the credit of this host. What it gains is there at once, since it has had less
+// for longer than a window.
+func (a *Accounts) updateStock(now time.Time, c *account) {
+	most := a.maxCredit(now)
+	if most > c.stock {
+		c.credit += most - c.stock
+	} else if most < c.stock {
+		c.credit = min(c.credit, most)
+		c.owed = min(c.owed, most-c.credit)
+	}
+	c.stock = most
+}
+
 // take spends the grant that expires first, or credit.
 func (a *Accounts) take(now time.Time, customer string, c *account) (Permit, bool) {
 	a.expire(now, c)
@@ -214,9 +229,6 @@
 		a.pending[customer] = c
 		return permit, true
 	}
-	if most := a.maxCredit(now); c.credit > most {
-		c.credit = most
-	}
 	if c.credit == 0 {
 		return Permit{}, false
 	}
@@ -266,7 +278,7 @@
 	}
 	a.pending[permit.customer] = c
 	switch {
-	case permit.credit && c.owed > 0 && c.credit < a.maxCredit(now):
+	case permit.credit && c.owed > 0 && c.credit < c.stock:
 		c.credit++
 		c.owed--
 	case permit.credit && c.replaced.Count > 0:
@@ -348,12 +360,8 @@
 func (a *Accounts) ask(now time.Time, name string, c *account) (Ask, bool) {
 	a.expire(now, c)
 	ask := Ask{Customer: name, Refused: c.refused, Returned: c.returned}
-	if most := a.maxCredit(now); c.credit+c.owed < most {
-		c.owed = most - c.credit
-	} else if c.credit+c.owed > most {
-		c.credit = min(c.credit, most)
-		c.owed = most - c.credit
-	}
+	a.updateStock(now, c)
+	c.owed = c.stock - c.credit
 	if !now.Before(c.roomAt) {
 		ask.Needed = c.waiting + c.owed
 		ask.Ahead = c.ahead(now)
@@ -406,8 +414,9 @@
 	if answer.Seq == 0 {
 		instance = 0
 	}
+	a.updateStock(now, c)
 	// Requests that wait come first, then the credit.
-	replacing := min(max(count-c.waiting, 0), c.owed, max(a.maxCredit(now)-c.credit, 0))
+	replacing := min(max(count-c.waiting, 0), c.owed, max(c.stock-c.credit, 0))
 	if replacing > 0 {
 		c.credit += replacing
 		c.owed -= replacing
@@ -458,10 +467,10 @@
 		return
 	}
 	a.sweptAt = now
-	most := a.maxCredit(now)
 	for name, c := range a.accounts {
 		a.expire(now, c)
-		if now.Sub(c.usedAt) >= idleAccounts && !c.asking && c.waiting == 0 && c.credit >= most && len(c.grants)+len(c.returned) == 0 {
+		a.updateStock(now, c)
+		if now.Sub(c.usedAt) >= idleAccounts && !c.asking && c.waiting == 0 && c.credit >= c.stock && len(c.grants)+len(c.returned) == 0 {
 			delete(a.accounts, name)
 			delete(a.pending, name)
 		}
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -313,13 +313,13 @@
 }
 
 // spare is how much of the whole requests left may be issued ahead. They may stay unused, and other
-// hosts would refuse requests meanwhile, so that the lower half of the bucket is kept for requests
+// hosts would refuse requests meanwhile, so that most of the bucket is kept for requests
 // that wait. A host that refuses requests uses all that it gets.
 func (b *bucket) spare(whole int, refuses bool) int {
 	if refuses {
 		return (whole + 1) / 2
 	}
-	return max(whole-int(math.Ceil(b.depth/2)), 0)
+	return max(whole-int(math.Ceil(0.75*b.depth)), 0)
 }
 
 // reserve promises times to come back to the callers that one host refuses.
