--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -312,9 +312,8 @@
 	return grant
 }
 
-// spare is how much of the whole requests left may be issued ahead. They may stay unused, and other
-// hosts would refuse requests meanwhile, so that most of the bucket is kept for requests
-// that wait. A host that refuses requests uses all that it gets.
+// spare is how much of the whole requests left may be issued ahead. They may stay unused while
+// other hosts refuse requests, so that most of the bucket is kept for requests that wait. A host that refuses requests uses all that it gets.
 func (b *bucket) spare(whole int, refuses bool) int {
 	if refuses {
 		return (whole + 1) / 2
