--- a/bench/case.go
+++ b/bench/case.go
@@ -41,6 +41,8 @@
 	// it has MinCoverage of its legs; 0 is none.
 	SoftDeadline time.Duration
 	MinCoverage  float64
+	// Surge returns a further factor of the traffic's demand at a time; nil: always 1.
+	Surge func(at time.Duration) float64
 	// RetryRefused makes a refused caller retry once, after the refusal's delay.
 	RetryRefused bool
 	// Host0Share is the fraction of queries that go to host 0; the others go to
@@ -76,6 +78,9 @@
 	if c.Surge != nil {
 		surge = c.Surge(at)
 	}
+	if t.Surge != nil {
+		surge *= t.Surge(at)
+	}
 	slots := float64(c.Shape.Servers * c.Shape.Slots)
 	return slots * c.Load * t.Share * surge / t.ServiceTime.Mean().Seconds()
 }
--- a/bench/shape.go
+++ b/bench/shape.go
@@ -22,6 +22,9 @@
 	HopOtherZone   time.Duration // one way
 	ServiceTime    ServiceTime
 	DetectHostLoss time.Duration // until hosts detect a host that is down
+	// PauseLength is how long a server stops every PauseInterval; servers pause at different
+	// times. 0 means never.
+	PauseInterval, PauseLength time.Duration
 }
 
 // ServiceTime is the distribution of service times on a healthy server: Base plus
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -110,7 +110,7 @@
 		r := &config.Routes[i]
 		if name := className(r); !seen[name] {
 			seen[name] = true
-			docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs})
+			docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs, Priority: &r.Priority})
 		}
 	}
 	for _, service := range config.Services {
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -93,7 +93,7 @@
 	l.addAttempt(a)
 	l.attemptCount++
 	c.running++
-	c.charge(a.chargedSeconds)
+	h.charge(c, now, a.chargedSeconds)
 	if !hedge && l.Idempotent && !a.pipelined {
 		c.hedgeCandidates.push(a)
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -111,6 +111,9 @@
 	Name          string
 	ReservedShare float64
 	MaxQueue      int
+	// Priority ranks the classes, 0 is the most urgent; nil means not stated. Unless every
+	// class states one, classes are served by their reserved shares only.
+	Priority *int
 	// DefaultHedgeDelay is the hedge delay used until the class's service times are
 	// known; 0 disables hedging until then.
 	DefaultHedgeDelay time.Duration
--- a/home/state.go
+++ b/home/state.go
@@ -20,6 +20,7 @@
 	servers     []*server // sorted by name, so that ties resolve the same way
 	hasServers  bool      // SetServers has been called
 	classes     []class
+	ranked      bool // every class has a priority
 	legs        map[LegID]*leg
 	attempts    map[ident.AttemptID]*attempt
 	lastAttempt ident.AttemptID
@@ -65,6 +66,7 @@
 	h := &Home{
 		cfg:         cfg,
 		classes:     make([]class, len(cfg.Classes)),
+		ranked:      hasPriorities(cfg.Classes),
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		lastAttempt: attemptIDBase,
@@ -151,7 +153,7 @@
 	c := &h.classes[a.leg.Class]
 	c.running--
 	c.hedgeCandidates.remove(a)
-	c.charge(a.elapsed(now).Seconds() - a.chargedSeconds)
+	h.charge(c, now, a.elapsed(now).Seconds()-a.chargedSeconds)
 	h.recordEnd(now, a, end)
 	h.promote(a.server, now)
 	if !a.leg.done {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -228,7 +228,7 @@
 func (s *Server) homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
 	classes := make([]home.ClassSpec, len(config.Classes))
 	for i, class := range config.Classes {
-		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
+		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue, Priority: class.Priority}
 	}
 	limits := home.Config{
 		Service:        spec.Name,
