--- a/bench/case.go
+++ b/bench/case.go
@@ -21,8 +21,11 @@
 	Warmup  time.Duration // arrivals in this time are not measured
 	Traffic []Traffic
 	// Surge returns the factor of the demand at a time; nil: always 1.
-	Surge   func(at time.Duration) float64
-	Changes []Change
+	Surge func(at time.Duration) float64
+	// RedrawInterval bounds the time for which an arrival is drawn in advance, so that streams
+	// of few queries follow a surge; 0 means no bound.
+	RedrawInterval time.Duration
+	Changes        []Change
 	// Admission makes the admission of the entry hosts; nil admits every query.
 	Admission func(*Sim) Admission
 	// Policies to run; nil: Policies().
--- a/bench/homes.go
+++ b/bench/homes.go
@@ -54,6 +54,7 @@
 type homePolicy struct {
 	sim       *Sim
 	modify    func(*home.Config)
+	anonymous bool // callers are not identified
 	local     bool // each host is the home of every service for its own queries
 	services  []place.Service
 	placement []place.Cache
@@ -195,8 +196,12 @@
 	id := r.policy.nextID
 	r.legs[id] = leg
 	r.ids[leg] = id
+	caller := leg.Query.Traffic.Caller
+	if r.policy.anonymous {
+		caller = ""
+	}
 	r.perform(r.state.Submit(r.now(), home.Leg{
-		ID: id, Request: leg.Query.ID, Class: leg.Query.Traffic.Class, Caller: leg.Query.Traffic.Caller,
+		ID: id, Request: leg.Query.ID, Class: leg.Query.Traffic.Class, Caller: caller,
 		Deadline: leg.Query.DeadlineTime(), SoftDeadline: leg.Query.softDeadline(), Idempotent: true, Bytes: 200,
 		Optional: leg.Optional,
 	}, r.actions[:0]))
--- a/home/class.go
+++ b/home/class.go
@@ -37,6 +37,7 @@
 	spec            ClassSpec
 	index           int
 	waiting         queue // legs waiting for a first attempt or a retry
+	shares          callerShares
 	hedges          queue // running legs waiting for a second attempt
 	hedgeCandidates attemptList
 	running         int
--- a/home/home.go
+++ b/home/home.go
@@ -152,6 +152,9 @@
 	// AvoidStalled sends nothing to a server that seems stalled while another is
 	// healthy, and hedges the attempts that run on it.
 	AvoidStalled bool
+	// CallerWeight returns the weight of a caller's share of the slot time while legs wait;
+	// nil, or a weight of 0, means 1.
+	CallerWeight func(caller string) float64
 	// LatencyStats holds the service times observed by all homes of this host; nil
 	// means that each home uses only its own.
 	LatencyStats *LatencyStats
--- a/home/leg.go
+++ b/home/leg.go
@@ -32,7 +32,11 @@
 	unknownCount int // attempts that ended with an unknown outcome
 	possibleRuns int // ended attempts that may have run
 	orderBy      time.Time
-	hedged       bool // a hedge was sent
+	callerRank   float64       // order among legs of several callers; see callerShares
+	longWait     time.Duration // how long before orderBy a leg with a rank has waited long
+	ranked       bool          // has a rank
+	late         bool          // can't meet its soft deadline; set only while legs have ranks
+	hedged       bool          // a hedge was sent
 	done         bool
 	ranCode      result.Code // why an attempt that ran gave no answer
 }
--- a/home/state.go
+++ b/home/state.go
@@ -127,6 +127,10 @@
 	}
 	c := &h.classes[in.Class]
 	h.catchUp(c, now)
+	c.shares.rank(l, now, c.meanSeconds(now), h.weightOf(l), c.quantiles().typical)
+	if l.ranked {
+		acts = h.makeRoom(c, l, now, acts)
+	}
 	if code, ok := h.admit(c, l, now); !ok {
 		return append(acts, Action{Kind: ActionFail, Leg: in.ID, Code: code, Outcome: l.outcome, RetryAfter: h.retryAfter(now, 0)})
 	}
@@ -209,7 +213,7 @@
 		}
 		if c.waiting.len() > 0 {
 			waiting = true
-			next = earliest(next, c.waiting.legs[0].Deadline.Add(-c.quantiles().fast))
+			next = earliest(next, c.waiting.firstDeadline().Add(-c.quantiles().fast))
 		}
 	}
 	if !waiting {
