--- a/home/class.go
+++ b/home/class.go
@@ -92,7 +92,7 @@
 
 // goesFirst reports whether class a gets the next slot rather than b.
 //
-// If the classes have priorities, one whose next leg is on time goes before one that has
+// If the classes have priorities, one with legs on time goes before one that has
 // only late legs, and otherwise the more urgent one goes first: in a burst, lookups with a
 // target of 80 ms otherwise wait behind searches of 28 ms a leg, with a target of 300 ms. A
 // class that would be starved goes first until it has its part.
@@ -102,7 +102,7 @@
 // its share doesn't delay the others.
 func (h *Home) goesFirst(a, b *class, now time.Time) bool {
 	if h.ranked {
-		if first, second := a.nextIsOnTime(), b.nextIsOnTime(); first != second {
+		if first, second := a.hasOnTime(), b.hasOnTime(); first != second {
 			return first
 		}
 		if first, second := h.starved(a, now), h.starved(b, now); first != second {
@@ -115,15 +115,20 @@
 	return a.virtualTime < b.virtualTime
 }
 
-// nextIsOnTime reports whether the class's next leg can still meet its soft deadline, if it
-// has one. The class must have work.
-func (c *class) nextIsOnTime() bool {
+// hasOnTime reports whether one of the class's next legs can still meet its soft deadline, if it
+// has one. The class must have work. Late legs whose deadline is near come first in the order by
+// deadline, and mustn't make the others of their class yield.
+func (c *class) hasOnTime() bool {
 	next := &c.waiting
 	if next.len() == 0 {
 		next = &c.hedges
 	}
-	l := next.legs[0]
-	return l.onTime() || l.SoftDeadline.IsZero()
+	for _, l := range next.legs[:min(next.len(), maxQueueScan)] {
+		if l.onTime() || l.SoftDeadline.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // starved reports whether the class has used less than its part of minClassPart while slots
--- a/home/class_test.go
+++ b/home/class_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -124,3 +125,58 @@
 	cfg.Classes[interactive].Priority = cfg.Classes[batch].Priority
 	is.True(!hasPriorities(cfg.Classes)) // all are equally urgent
 }
+
+// Guards against an urgent class that yields because a late leg near its deadline comes first in
+// the order by deadline.
+func TestLateLegDoesNotHoldUpItsClass(t *testing.T) {
+	h := newHarness(t, rankedConfig(), 1)
+	h.disableProbes()
+	h.runLegs(60) // 5 ms each
+	h.backlog(interactive, 1, 80*time.Millisecond)
+	late := h.newLeg(interactive, 75*time.Millisecond)
+	late.SoftDeadline = h.now.Add(40 * time.Millisecond)
+	h.submitLeg(late)
+	h.advance(60 * time.Millisecond)
+	h.backlog(interactive, 2, 80*time.Millisecond)
+	h.backlog(batch, 3, 300*time.Millisecond)
+	h.is.Equal(h.home.classes[interactive].waiting.legs[0].ID, late.ID)
+	started := ofKind(h.finish(h.running[0], ran()), ActionStart)
+	h.is.Equal(h.home.legs[started[0].Leg].Class, interactive)
+}
+
+// BenchmarkLegWithPriorities is BenchmarkLeg with classes that have priorities, without and with
+// callers.
+func BenchmarkLegWithPriorities(b *testing.B) {
+	for _, callers := range []int{0, 75} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			homes := newHomes(50, 2)
+			for _, h := range homes {
+				h.home.Reconfigure(h.now, rankedConfig(), nil)
+			}
+			names := make([]string, max(callers, 1))
+			for i := range callers {
+				names[i] = fmt.Sprint("customer ", i)
+			}
+			acts := make([]Action, 0, 8)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				acts = homes[i%len(homes)].runLegOf(names[i%len(names)], acts)
+				i++
+			}
+		})
+	}
+}
+
+// runLegOf is runLeg with a caller and a soft deadline.
+func (h *harness) runLegOf(caller string, acts []Action) []Action {
+	h.lastID++
+	h.now = h.now.Add(time.Millisecond)
+	acts = h.home.Submit(h.now, Leg{
+		ID: h.lastID, Class: interactive, Caller: caller, Deadline: h.now.Add(time.Second), SoftDeadline: h.now.Add(80 * time.Millisecond),
+		Idempotent: true, Bytes: 100,
+	}, acts[:0])
+	attempt := acts[0].Attempt
+	h.now = h.now.Add(5 * time.Millisecond)
+	return h.home.Finish(h.now, attempt, ran(), acts[:0])
+}
--- a/home/fairness.go
+++ b/home/fairness.go
@@ -42,8 +42,8 @@
 }
 
 // rank sets the leg's place among those of other callers. slotSeconds is the class's mean slot
-// time, and typical its typical service time. Legs without a caller have no rank until one with a caller comes, so that a
-// configuration without customers is served by deadline only.
+// time, and typical its typical service time. Legs without a caller have no rank until one with
+// a caller comes, so that a configuration without customers is served by deadline only.
 func (s *callerShares) rank(l *leg, now time.Time, slotSeconds, weight float64, typical time.Duration) {
 	if l.Caller == "" && s.recent == nil {
 		return
