--- a/gateway/config.go
+++ b/gateway/config.go
@@ -137,7 +137,7 @@
 		for _, priority := range append([]int{r.Priority}, priorities...) {
 			if name := className(priority, r.TargetLatency); !seen[name] {
 				seen[name] = true
-				docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs})
+				docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs, Priority: &priority})
 			}
 		}
 	}
