--- a/gateway/config.go
+++ b/gateway/config.go
@@ -127,7 +127,8 @@
 }
 
 // bundleDocuments converts the operator's routes and services to the documents that the
-// homes are configured from.
+// homes are configured from. Classes state no priority to the homes: with equal slot time the
+// short legs go first already, and fewer requests are in time if whole classes yield.
 func bundleDocuments(config *route.Config) bundle.Documents {
 	var docs bundle.Documents
 	seen := make(map[string]bool)
@@ -137,7 +138,7 @@
 		for _, priority := range append([]int{r.Priority}, priorities...) {
 			if name := className(priority, r.TargetLatency); !seen[name] {
 				seen[name] = true
-				docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs, Priority: &priority})
+				docs.Classes = append(docs.Classes, bundle.Class{Name: name, MaxQueue: maxQueuedLegs})
 			}
 		}
 	}
