--- a/bundle/documents.go
+++ b/bundle/documents.go
@@ -74,9 +74,6 @@
 	// ReservedShare is the share of slots, 0 to 1, reserved for the class while it
 	// has work; the shares sum to at most 1.
 	ReservedShare float64 `yaml:"reserved_share" json:"reserved_share"`
-	// Priority ranks the classes at a service; 0 is the most urgent. Without it, classes
-	// are served by their reserved shares only.
-	Priority *int `yaml:"priority,omitempty" json:"priority,omitempty"`
 	// DefaultDeadline applies to requests without a deadline.
 	DefaultDeadline Duration `yaml:"default_deadline" json:"default_deadline"`
 	// MaxQueue bounds the queued legs of the class at one home; default 2048.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -127,8 +127,7 @@
 }
 
 // bundleDocuments converts the operator's routes and services to the documents that the
-// homes are configured from. Classes state no priority to the homes: with equal slot time the
-// short legs go first already, and fewer requests are in time if whole classes yield.
+// homes are configured from.
 func bundleDocuments(config *route.Config) bundle.Documents {
 	var docs bundle.Documents
 	seen := make(map[string]bool)
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -93,7 +93,7 @@
 	l.addAttempt(a)
 	l.attemptCount++
 	c.running++
-	h.charge(c, now, a.chargedSeconds)
+	c.charge(a.chargedSeconds)
 	if !hedge && l.Idempotent && !a.pipelined {
 		c.hedgeCandidates.push(a)
 	}
@@ -112,7 +112,7 @@
 		return result.NoBackend, false
 	case !h.canMeetDeadline(l, now):
 		return result.DeadlineUnmeetable, false
-	case h.isFull(c, l):
+	case c.waiting.len() >= c.spec.MaxQueue || h.queuedBytes+l.Bytes > h.cfg.MaxQueueBytes:
 		return result.Overloaded, false
 	case h.minQueueTime(c, l, now) > l.Deadline.Sub(now):
 		return result.DeadlineUnmeetable, false
@@ -121,30 +121,6 @@
 	}
 }
 
-// makeRoom fails waiting legs that come after this one in the order of callers while the queue
-// is full, so that a caller that fills it doesn't keep out the others.
-func (h *Home) makeRoom(c *class, l *leg, now time.Time, acts []Action) []Action {
-	if !h.canMeetDeadline(l, now) || h.minQueueTime(c, l, now) > l.Deadline.Sub(now) {
-		return acts
-	}
-	if h.isFull(c, l) && c.waiting.ranked > 0 && !c.shares.alone(now) {
-		c.waiting.setByRank(true)
-	}
-	for h.isFull(c, l) && c.waiting.len() > 0 {
-		last := c.waiting.legs[c.waiting.len()-1]
-		if !last.ranked || !c.waiting.before(l, last) {
-			break
-		}
-		acts = h.failLeg(last, last.failureCode(result.Overloaded), h.retryAfter(now, 0), acts)
-	}
-	return acts
-}
-
-// isFull reports whether there is no room for the leg in the queue of its class.
-func (h *Home) isFull(c *class, l *leg) bool {
-	return c.waiting.len() >= c.spec.MaxQueue || h.queuedBytes+l.Bytes > h.cfg.MaxQueueBytes
-}
-
 // minQueueTime returns a lower bound of the leg's queueing time: as if its class had every
 // slot.
 func (h *Home) minQueueTime(c *class, l *leg, now time.Time) time.Duration {
@@ -164,10 +140,6 @@
 func (h *Home) demoteLate(now time.Time) {
 	for i := range h.classes {
 		c := &h.classes[i]
-		if c.waiting.ranked > 0 {
-			c.demoteRanked(now, h.totalSlots)
-			continue
-		}
 		for c.waiting.len() > 0 {
 			l := c.waiting.legs[0]
 			if !l.onTime() || h.canMeetSoftDeadline(c, l, now) {
@@ -188,19 +160,12 @@
 func (h *Home) failLate(now time.Time, acts []Action) []Action {
 	for i := range h.classes {
 		c := &h.classes[i]
-		for c.waiting.len() > 0 {
-			l := c.waiting.nextExpired(now.Add(c.quantiles().fast))
-			if l == nil {
-				break
-			}
+		for c.waiting.len() > 0 && !h.canMeetDeadline(c.waiting.legs[0], now) {
+			l := c.waiting.legs[0]
 			acts = h.failLeg(l, l.failureCode(result.DeadlineUnmeetable), h.retryAfter(now, 0), acts)
 		}
-		for c.hedges.len() > 0 {
-			l := c.hedges.nextExpired(now.Add(c.quantiles().fast))
-			if l == nil {
-				break
-			}
-			h.dequeue(l)
+		for c.hedges.len() > 0 && !h.canMeetDeadline(c.hedges.legs[0], now) {
+			h.dequeue(c.hedges.legs[0])
 		}
 	}
 	return acts
--- a/home/forecast.go
+++ b/home/forecast.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/ident"
-
 	legs "github.com/goldcrestspan/goldcrestspan/leg"
 )
 
@@ -16,22 +14,6 @@
 	return legs.Forecast{QueueTime: h.queueTime(c, now), ServiceTime: h.expectedRunTime(c, now), Unresponsive: h.unresponsive(now)}
 }
 
-// ForecastFor is Forecast for a leg of a request of a caller, which passes the waiting legs
-// that have a higher rank. With Forecast, a customer that fills the queues makes the searches of
-// all others be refused.
-func (h *Home) ForecastFor(now time.Time, classIndex int, caller string, request ident.RequestID) legs.Forecast {
-	forecast := h.Forecast(now, classIndex)
-	c := &h.classes[classIndex]
-	if c.waiting.ranked == 0 || c.shares.alone(now) || forecast.Unresponsive || h.nextAvailable(now).After(now) {
-		return forecast
-	}
-	l := &leg{Leg: Leg{Caller: caller, Request: request}}
-	l.callerRank = c.shares.rankOf(l, now, c.meanSeconds(now), h.weightOf(l))
-	ahead := c.waiting.onTimeBelow(l.callerRank)
-	forecast.QueueTime = time.Duration(ahead+1) * h.startInterval(c, now)
-	return forecast
-}
-
 const (
 	// unresponsiveAfter is how long a service must have answered nothing, with every
 	// server overdue or unavailable, to count as unresponsive. It is twice the
--- a/home/home.go
+++ b/home/home.go
@@ -111,9 +111,6 @@
 	Name          string
 	ReservedShare float64
 	MaxQueue      int
-	// Priority ranks the classes, 0 is the most urgent; nil means not stated. Unless every
-	// class states one, classes are served by their reserved shares only.
-	Priority *int
 	// DefaultHedgeDelay is the hedge delay used until the class's service times are
 	// known; 0 disables hedging until then.
 	DefaultHedgeDelay time.Duration
@@ -152,9 +149,6 @@
 	// AvoidStalled sends nothing to a server that seems stalled while another is
 	// healthy, and hedges the attempts that run on it.
 	AvoidStalled bool
-	// CallerWeight returns the weight of a caller's share of the slot time while legs wait;
-	// nil, or a weight of 0, means 1.
-	CallerWeight func(caller string) float64
 	// LatencyStats holds the service times observed by all homes of this host; nil
 	// means that each home uses only its own.
 	LatencyStats *LatencyStats
--- a/home/leg.go
+++ b/home/leg.go
@@ -24,18 +24,14 @@
 // leg is a leg that isn't done.
 type leg struct {
 	Leg
+	queuedIn     queueState
 	attempts     [maxRunning]*attempt
 	avoidServer  *server // failed last, or lacks the snapshot
-	attemptCount int     // attempts sent
-	unknownCount int     // attempts that ended with an unknown outcome
-	possibleRuns int     // ended attempts that may have run
-	orderBy      time.Time
-	callerRank   float64       // order among legs of several callers; see callerShares
-	longWait     time.Duration // how long before orderBy a leg with a rank has waited long
-	queuedIn     queueState
 	outcome      result.Outcome
-	ranked       bool // has a rank
-	late         bool // can't meet its soft deadline; set only while legs have ranks
+	attemptCount int // attempts sent
+	unknownCount int // attempts that ended with an unknown outcome
+	possibleRuns int // ended attempts that may have run
+	orderBy      time.Time
 	hedged       bool // a hedge was sent
 	done         bool
 	ranCode      result.Code // why an attempt that ran gave no answer
--- a/home/reconfigure.go
+++ b/home/reconfigure.go
@@ -17,7 +17,7 @@
 	}
 	h.hedgeBudget.SetLimits(cfg.HedgeBudget, cfg.HedgeBurst)
 	h.retryBudget.SetLimits(cfg.RetryBudget, cfg.RetryBurst)
-	h.cfg, h.ranked = cfg, hasPriorities(cfg.Classes)
+	h.cfg = cfg
 	h.applyBudgetRates()
 	return h.dispatch(now, acts)
 }
--- a/home/start_rate.go
+++ b/home/start_rate.go
@@ -29,7 +29,6 @@
 func (c *class) requeueLate(l *leg) {
 	c.waiting.remove(l)
 	l.orderBy = l.Deadline
-	l.late = l.ranked || c.waiting.ranked > 0
 	c.waiting.insert(l)
 }
 
--- a/home/state.go
+++ b/home/state.go
@@ -20,7 +20,6 @@
 	servers     []*server // sorted by name, so that ties resolve the same way
 	hasServers  bool      // SetServers has been called
 	classes     []class
-	ranked      bool // every class has a priority
 	legs        map[LegID]*leg
 	attempts    map[ident.AttemptID]*attempt
 	lastAttempt ident.AttemptID
@@ -66,7 +65,6 @@
 	h := &Home{
 		cfg:         cfg,
 		classes:     make([]class, len(cfg.Classes)),
-		ranked:      hasPriorities(cfg.Classes),
 		legs:        make(map[LegID]*leg),
 		attempts:    make(map[ident.AttemptID]*attempt),
 		lastAttempt: attemptIDBase,
@@ -127,10 +125,6 @@
 	}
 	c := &h.classes[in.Class]
 	h.catchUp(c, now)
-	c.shares.rank(l, now, c.meanSeconds(now), h.weightOf(l), c.quantiles().typical)
-	if l.ranked {
-		acts = h.makeRoom(c, l, now, acts)
-	}
 	if code, ok := h.admit(c, l, now); !ok {
 		return append(acts, Action{Kind: ActionFail, Leg: in.ID, Code: code, Outcome: l.outcome, RetryAfter: h.retryAfter(now, 0)})
 	}
@@ -157,7 +151,7 @@
 	c := &h.classes[a.leg.Class]
 	c.running--
 	c.hedgeCandidates.remove(a)
-	h.charge(c, now, a.elapsed(now).Seconds()-a.chargedSeconds)
+	c.charge(a.elapsed(now).Seconds() - a.chargedSeconds)
 	h.recordEnd(now, a, end)
 	h.promote(a.server, now)
 	if !a.leg.done {
@@ -213,7 +207,7 @@
 		}
 		if c.waiting.len() > 0 {
 			waiting = true
-			next = earliest(next, c.waiting.firstDeadline().Add(-c.quantiles().fast))
+			next = earliest(next, c.waiting.legs[0].Deadline.Add(-c.quantiles().fast))
 		}
 	}
 	if !waiting {
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -228,7 +228,7 @@
 func (s *Server) homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
 	classes := make([]home.ClassSpec, len(config.Classes))
 	for i, class := range config.Classes {
-		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue, Priority: class.Priority}
+		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
 	}
 	limits := home.Config{
 		Service:        spec.Name,
@@ -248,40 +248,17 @@
 // Forecast returns the forecast for a leg of the class at the service. It is zero if
 // this host has no home of the service.
 func (s *Server) Forecast(service, class string) leg.Forecast {
-	svc, classIndex := s.openClass(service, class)
-	if svc == nil {
-		return leg.Forecast{}
-	}
-	return svc.forecast(classIndex)
-}
-
-// ForecastFor is Forecast for a caller's request, which waits behind fewer legs than others if
-// the caller has used less than its share. It is the same as Forecast without a caller.
-func (s *Server) ForecastFor(service, class, caller string, request ident.RequestID) leg.Forecast {
-	if caller == "" {
-		return s.Forecast(service, class)
-	}
-	svc, classIndex := s.openClass(service, class)
-	if svc == nil {
-		return leg.Forecast{}
-	}
-	return svc.forecastFor(classIndex, caller, request)
-}
-
-// openClass returns the home of the service and the index of the class; nil if this host has no
-// home of the service or the class isn't configured.
-func (s *Server) openClass(name, class string) (*service, int) {
 	s.mu.RLock()
-	svc, config := s.services[name], s.config
+	svc, config := s.services[service], s.config
 	s.mu.RUnlock()
 	if svc == nil || config == nil {
-		return nil, 0
+		return leg.Forecast{}
 	}
 	_, classIndex, ok := config.Class(class)
 	if !ok {
-		return nil, 0
+		return leg.Forecast{}
 	}
-	return svc, classIndex
+	return svc.forecast(classIndex)
 }
 
 // ServerInZone returns the name of the service's first server by name in the
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -293,12 +293,6 @@
 	return s.home.Forecast(s.server.now(), class)
 }
 
-func (s *service) forecastFor(class int, caller string, request ident.RequestID) leg.Forecast {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.home.ForecastFor(s.server.now(), class, caller, request)
-}
-
 func (s *service) openLegs() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
