--- a/admit/fairness.go
+++ b/admit/fairness.go
@@ -177,23 +177,28 @@
 	return len(cs.byName) > 1 && c.arrivals.recent(now) > cs.floodRatio*lightDemand+noiseDeviations*math.Sqrt(lightDemand)+noiseDeviations
 }
 
+// fairShare is how many recent requests of the caller would be an equal share.
+func (cs *callers) fairShare(c *caller) float64 {
+	return cs.fairRate * c.weight * rateTimeConstant.Seconds()
+}
+
 // isOverShare reports whether the caller got clearly more than an equal share.
 func (cs *callers) isOverShare(now time.Time, c *caller) bool {
-	share := cs.fairRate * c.weight * rateTimeConstant.Seconds()
+	share := cs.fairShare(c)
 	return len(cs.byName) > 1 && c.admitted.recent(now) > overShareMargin*share+noiseDeviations*math.Sqrt(share)+noiseDeviations
 }
 
 // isOverScarceShare is isOverShare without its margin for chance, for a class with a latency
 // limit: a host may have so few requests in flight that the margin is most of them.
 func (cs *callers) isOverScarceShare(now time.Time, c *caller) bool {
-	share := cs.fairRate * c.weight * rateTimeConstant.Seconds()
+	share := cs.fairShare(c)
 	return len(cs.byName) > 1 && c.admitted.recent(now) > overShareMargin*share+1
 }
 
 // isUnderShare reports whether the caller has not got its share. The only caller of a class
 // has none to defend.
 func (cs *callers) isUnderShare(now time.Time, c *caller) bool {
-	share := cs.fairRate * c.weight * rateTimeConstant.Seconds()
+	share := cs.fairShare(c)
 	return len(cs.byName) > 1 && c.admitted.recent(now)+1 <= max(1, share)
 }
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -26,13 +26,14 @@
 type searchAdmission struct {
 	controller     *admit.Controller
 	now            func() time.Time
-	processorDelay atomic.Int64 // nanoseconds
-	admitted       atomic.Int64 // searches that were asked for
+	processorDelay atomic.Int64  // nanoseconds
+	asked          atomic.Int64  // searches that asked for admission
+	firstAsked     chan struct{} // closed by the first of them
 }
 
 func newSearchAdmission(now func() time.Time) *searchAdmission {
 	limits := admit.Limits{MaxConcurrent: maxRequestsInFlight, MaxBytes: math.MaxInt} // bytes: see ReserveBody
-	return &searchAdmission{controller: admit.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), now: now}
+	return &searchAdmission{controller: admit.New(limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), now: now, firstAsked: make(chan struct{})}
 }
 
 // admit returns the permit of a search, nil for a request without a limit, or its refusal
@@ -45,7 +46,9 @@
 	if !known {
 		return nil, nil
 	}
-	a.admitted.Add(1)
+	if a.asked.Add(1) == 1 {
+		close(a.firstAsked)
+	}
 	now := a.now()
 	permit, refusal := a.controller.Admit(now, admit.Request{
 		Caller: spec.Caller, Weight: c.weight(spec.Caller), Class: class, Priority: priority, Deadline: spec.Deadline, Target: spec.SoftDeadline,
@@ -90,12 +93,18 @@
 // request waits for the processor at each of its steps. The smaller of two measurements
 // counts, so that a single pause of the process is no overload.
 func (a *searchAdmission) measureProcessorDelay(ctx context.Context) error {
+	// Hosts that limit no searches are not woken up.
+	select {
+	case <-a.firstAsked:
+	case <-ctx.Done():
+		return nil
+	}
 	interval := idleProbeInterval
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	due := time.Now().Add(interval)
 	var previous time.Duration
-	var admitted int64
+	var asked int64
 	for {
 		select {
 		case <-timer.C:
@@ -107,8 +116,8 @@
 		a.processorDelay.Store(int64(min(measured, previous)))
 		previous = measured
 		interval = idleProbeInterval
-		if total := a.admitted.Load(); total != admitted {
-			admitted, interval = total, processorProbeInterval
+		if total := a.asked.Load(); total != asked {
+			asked, interval = total, processorProbeInterval
 		}
 		timer.Reset(interval)
 		due = now.Add(interval)
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// customerOverLimit is the result of a request over its customer's limit.
-	customerOverLimit = result.CustomerOverLimit
 	// quotaTick is how often the grantor notices that the process runs.
 	quotaTick = 250 * time.Millisecond
 	// creditInterval is how often a host checks whether it may use credit.
@@ -36,19 +34,16 @@
 	maxGrantorSilence = 1500 * time.Millisecond
 )
 
-// quotaPermit is the permission of one request under its customer's limit.
-type quotaPermit = quota.Permit
-
 // takeQuota counts a request against its customer's limit, or refuses it.
-func (g *Gateway) takeQuota(ctx context.Context, who *customer.Customer, request string) (quotaPermit, *Answer) {
+func (g *Gateway) takeQuota(ctx context.Context, who *customer.Customer, request string) (quota.Permit, *Answer) {
 	if who == nil || !who.Limit.Bounded() {
-		return quotaPermit{}, nil
+		return quota.Permit{}, nil
 	}
 	return g.quotas.take(ctx, who, request)
 }
 
 // settleQuota gives back what was taken for a request that has not run.
-func (g *Gateway) settleQuota(permit quotaPermit, answer *Answer) {
+func (g *Gateway) settleQuota(permit quota.Permit, answer *Answer) {
 	if answer.Code.NotRun() {
 		g.quotas.accounts.Return(g.options.Now(), permit)
 	}
@@ -62,7 +57,7 @@
 	accounts *quota.Accounts
 	view     func() *member.View
 	// isAlone reports whether this host has no peer although it has not joined any.
-	isAlone     func(*member.View) bool
+	isAlone     func() bool
 	peerContact func() time.Time
 	creditHosts func() map[ident.HostID]bool
 	// reportUnreachable lets the membership check a grantor that does not answer.
@@ -98,7 +93,7 @@
 	q := &quotas{
 		self: ident.HostID(g.options.Name), grantor: quota.NewGrantor(bounds, rand.Uint64()|1),
 		accounts: quota.NewAccounts(bounds, rand.Float64), view: members.View, peerContact: members.LastPeerContact,
-		isAlone:     func(*member.View) bool { return members.Joined() || !g.hasOtherSeeds() },
+		isAlone:     func() bool { return members.Joined() || !g.hasOtherSeeds() },
 		creditHosts: g.advisedAnywhere, reportUnreachable: members.ReportUnreachable, pool: pool, ctx: g.runCtx, now: g.options.Now, log: g.log, metrics: metrics,
 		wake: make(chan struct{}, 1), answered: make(map[string]chan struct{}), sentAt: make(map[ident.HostID]time.Time), failing: make(map[ident.HostID]bool),
 	}
@@ -296,7 +291,7 @@
 			return q.now().Sub(q.peerContact()) <= maxGrantorSilence
 		}
 	}
-	return q.isAlone(view)
+	return q.isAlone()
 }
 
 // servingDigest identifies the serving hosts and their starts.
@@ -329,7 +324,7 @@
 
 // take counts a request against its customer's limit. It asks the grantor only if this host has
 // neither a grant nor credit, and the grantor may have room.
-func (q *quotas) take(ctx context.Context, who *customer.Customer, request string) (quotaPermit, *Answer) {
+func (q *quotas) take(ctx context.Context, who *customer.Customer, request string) (quota.Permit, *Answer) {
 	permit, refusal := q.accounts.Admit(q.now(), who.Name)
 	if refusal != nil && refusal.Ask {
 		permit, refusal = q.takeAfterAsking(ctx, who.Name)
@@ -343,12 +338,12 @@
 	if refusal.Until.IsZero() {
 		q.metrics.request(who.Name, quotaUnanswered)
 		q.logRefusal(request, who, refusal, "the grantor of a customer's limit did not answer")
-		return quotaPermit{}, newRefusal(result.HomeUnavailable, "the customer's limit can't be checked: its grantor did not answer", refusal.RetryAfter)
+		return quota.Permit{}, newRefusal(result.HomeUnavailable, "the customer's limit can't be checked: its grantor did not answer", refusal.RetryAfter)
 	}
 	q.metrics.request(who.Name, quotaRefused)
 	q.logRefusal(request, who, refusal, "customer is over its limit")
 	detail := fmt.Sprintf("customer %s is over its limit of %g requests per second", who.Name, who.Limit.PerSecond)
-	return quotaPermit{}, newRefusal(customerOverLimit, detail, refusal.RetryAfter)
+	return quota.Permit{}, newRefusal(result.CustomerOverLimit, detail, refusal.RetryAfter)
 }
 
 // logRefusal logs the first refusal after each answer of the grantor.
@@ -365,208 +360,3 @@
 	}
 	q.log.Info(message, fields...)
 }
-
-// takeAfterAsking waits for the grantor's answer, at most for quota.CallTimeout.
-func (q *quotas) takeAfterAsking(ctx context.Context, name string) (quotaPermit, *quota.Refusal) {
-	timeout := time.NewTimer(quota.CallTimeout)
-	defer timeout.Stop()
-	for {
-		answered := q.askNow(name)
-		final := false
-		select {
-		case <-answered:
-		case <-timeout.C:
-			final = true
-		case <-ctx.Done():
-			final = true
-		}
-		permit, refusal := q.accounts.AdmitAnswered(q.now(), name, final)
-		if refusal == nil || !refusal.Ask {
-			return permit, refusal
-		}
-	}
-}
-
-// askNow asks the grantor unless a call is on its way; the channel is closed when it has ended.
-func (q *quotas) askNow(name string) <-chan struct{} {
-	q.mu.Lock()
-	onItsWay := q.answered[name]
-	q.mu.Unlock()
-	if onItsWay != nil {
-		return onItsWay
-	}
-	ask, ok := q.accounts.AskFor(q.now(), name)
-	if !ok {
-		// Another request has just asked.
-		done := make(chan struct{})
-		time.AfterFunc(time.Millisecond, func() { close(done) })
-		return done
-	}
-	host, found := q.grantorOf(name)
-	done := q.begin([]quota.Ask{ask})
-	if found && host.ID == q.self {
-		q.call(host, []quota.Ask{ask}, done, callOnPath)
-	} else {
-		go q.call(host, []quota.Ask{ask}, done, callOnPath)
-	}
-	return done
-}
-
-// begin notes that asks are on their way.
-func (q *quotas) begin(asks []quota.Ask) chan struct{} {
-	done := make(chan struct{})
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, ask := range asks {
-		q.answered[ask.Customer] = done
-	}
-	return done
-}
-
-// call sends asks to their grantor and applies the answers.
-func (q *quotas) call(host member.Host, asks []quota.Ask, done chan struct{}, kind string) {
-	defer func() {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		for _, ask := range asks {
-			if q.answered[ask.Customer] == done {
-				delete(q.answered, ask.Customer)
-			}
-		}
-		close(done)
-	}()
-	sent := q.now()
-	instance, grants, err := q.ask(host, asks, kind)
-	now := q.now()
-	if err != nil {
-		q.metrics.calls.WithLabelValues(callFailed).Inc()
-		if q.noteAnswer(host.ID, false) {
-			q.reportUnreachable(host.ID)
-			q.log.Warn("the grantor of limits did not answer", zap.String("grantor", string(host.ID)), zap.Int("customers", len(asks)), observe.ErrorText(err))
-		}
-		for _, ask := range asks {
-			q.accounts.Unanswered(now, host.ID, ask)
-		}
-		return
-	}
-	if q.noteAnswer(host.ID, true) {
-		q.log.Info("the grantor of limits answers again", zap.String("grantor", string(host.ID)))
-	}
-	for i, ask := range asks {
-		q.accounts.Answer(now, sent, host.ID, instance, ask, grants[i])
-	}
-}
-
-// noteAnswer reports whether a grantor has begun or ceased to answer.
-func (q *quotas) noteAnswer(host ident.HostID, answers bool) (changed bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.failing[host] == !answers {
-		return false
-	}
-	if answers {
-		delete(q.failing, host)
-	} else {
-		q.failing[host] = true
-	}
-	return true
-}
-
-// ask carries asks to their grantor.
-func (q *quotas) ask(host member.Host, asks []quota.Ask, kind string) (instance uint64, grants []quota.Grant, err error) {
-	if host.ID == q.self {
-		return q.grantor.Instance(), q.serve(asks), nil
-	}
-	q.metrics.calls.WithLabelValues(kind).Inc()
-	ctx, cancel := context.WithTimeout(q.ctx, quota.CallTimeout)
-	defer cancel()
-	reply, err := quotapb.NewDRPCQuotasClient(q.pool.Conn(ctx, host.PeerAddress)).Report(ctx, encodeAsks(asks))
-	if err != nil {
-		return 0, nil, err
-	}
-	return decodeGrants(reply, len(asks))
-}
-
-// serve answers asks as the grantor.
-func (q *quotas) serve(asks []quota.Ask) []quota.Grant {
-	grants := q.grantor.Serve(q.now(), asks)
-	for i, grant := range grants {
-		q.metrics.grant(asks[i].Customer, grant.Count)
-	}
-	return grants
-}
-
-// Report implements quotapb.DRPCQuotasServer.
-func (q *quotas) Report(_ context.Context, m *quotapb.ReportRequest) (*quotapb.ReportReply, error) {
-	return encodeGrants(q.grantor.Instance(), q.serve(decodeAsks(m))), nil
-}
-
-// wakeUp lets the next report go out.
-func (q *quotas) wakeUp() {
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
-// run sends reports while there is something to report, one call to a grantor each
-// quota.CallInterval.
-func (q *quotas) run(ctx context.Context) error {
-	ticker := time.NewTicker(quotaTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			q.tick()
-		case <-q.wake:
-			if q.enabled() && q.report() {
-				time.AfterFunc(quota.CallInterval, q.wakeUp)
-			}
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// tick follows the process and its connections.
-func (q *quotas) tick() {
-	now := q.now()
-	for id, at := range q.sentAt {
-		if now.Sub(at) >= time.Minute {
-			delete(q.sentAt, id)
-		}
-	}
-	if !q.enabled() {
-		return
-	}
-	q.grantor.Tick(now)
-	q.observeView()
-	if now.Sub(q.creditAt) >= creditInterval {
-		q.creditAt = now
-		hosts := q.creditHosts()
-		q.accounts.SetCredit(now, hosts[q.self], len(hosts))
-	}
-}
-
-// report sends what is due and reports whether more may become due without a request.
-func (q *quotas) report() (more bool) {
-	now := q.now()
-	byGrantor := make(map[ident.HostID][]quota.Ask)
-	hosts := make(map[ident.HostID]member.Host)
-	for _, name := range q.accounts.Pending(now) {
-		more = true
-		host, ok := q.grantorOf(name)
-		if !ok || now.Sub(q.sentAt[host.ID]) < quota.CallInterval {
-			continue
-		}
-		if ask, due := q.accounts.AskFor(now, name); due {
-			byGrantor[host.ID] = append(byGrantor[host.ID], ask)
-			hosts[host.ID] = host
-		}
-	}
-	for id, asks := range byGrantor {
-		q.sentAt[id] = now
-		go q.call(hosts[id], asks, q.begin(asks), callReport)
-	}
-	return more
-}
