--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -119,7 +119,9 @@
 	if r.spec.Started.IsZero() {
 		r.spec.Started = r.started
 	}
-	r.spec.StragglerShare = c.stragglers.share(spec.Class)
+	if r.isMultiShard() {
+		r.spec.StragglerShare = c.stragglers.share(spec.Class)
+	}
 	r.query = NewQuery(r.spec.Plan)
 	timer := time.NewTimer(r.query.NextCutOff().Sub(r.started))
 	defer timer.Stop()
