--- a/home/service_time.go
+++ b/home/service_time.go
@@ -13,7 +13,7 @@
 	// mean follows a change within as many requests. Where a server turns 5 to 12 times
 	// slower, each leg sent to it before that shows is late, and one in 20 legs decides a
 	// search; the mean of a class serves as a measure and needs less noise.
-	maxServerWeight = 8
+	maxServerWeight = 6
 	maxClassWeight  = 32
 	// priorWeight is the weight of the service's mean at a server, in observations.
 	priorWeight = 1
