--- a/discover/follower.go
+++ b/discover/follower.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 )
@@ -33,6 +34,9 @@
 	// OnChange is called on the Follower's goroutine after each change, with all objects
 	// and the store's revision.
 	OnChange func(objects []metastore.Object, revision metastore.Revision)
+	// OnConfirmed is called on the Follower's goroutine after OnChange with the time at which the
+	// store said that nothing newer exists; nil: not called.
+	OnConfirmed func(at time.Time)
 	// IsWatcher reports whether this host watches the store itself; other hosts
 	// follow their peers.
 	IsWatcher func() bool
@@ -78,8 +82,13 @@
 	peerState   atomic.Pointer[peerState]
 	hints       chan Hint
 	listReason  listReason // of the next list
+	source      string     // of the last change, on Run's goroutine
 }
 
+// Source is where the objects that OnChange gets come from: the store, or a peer's address. It
+// may be called in OnChange only.
+func (f *Follower) Source() string { return f.source }
+
 // NewFollower returns a follower; Run starts it.
 func NewFollower(config Config) *Follower {
 	return &Follower{config: config, mirror: NewMirror(config.Order), hints: make(chan Hint, 1), listReason: listAtStart}
@@ -216,6 +225,7 @@
 func (f *Follower) listStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	sentAt := f.config.Now()
 	read := f.config.Store.List
 	if f.config.AllowStaleFirstList && !f.HasSynced() {
 		read = f.config.Store.ListStale
@@ -235,8 +245,10 @@
 	rewound := f.listReason == listWithoutHistory && f.rewind(revision)
 	f.advanceRevision(revision)
 	changed := f.mirror.Replace(f.config.Now(), objects, revision)
+	f.source = freshness.Store
 	f.publish(changed || rewound || !f.HasSynced() || recovered)
 	f.noteContact()
+	f.confirmed(sentAt)
 	// Set after the list was applied: a host that is ready earlier would refuse
 	// requests for lack of servers.
 	f.synced.Store(true)
@@ -265,7 +277,8 @@
 
 // watch applies the next change of the store. While it waits it handles ticks and hints.
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.nextWatchTimeout())
+	timeout, sentAt := f.nextWatchTimeout(), f.config.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	results := make(chan watchResult, 1)
 	go func() {
@@ -282,8 +295,10 @@
 			}
 			f.config.Metrics.setRevision(f.config.Prefix, w.revision)
 			f.advanceRevision(w.revision)
+			f.source = freshness.Store
 			f.publish(f.mirror.ApplyChanges(f.config.Now(), w.objects, w.revision))
 			f.noteContact()
+			f.confirmed(earlier(f.config.Now(), sentAt.Add(timeout)))
 			f.batchChanges(ctx, len(w.objects))
 			return nil
 		case <-timer.C:
@@ -343,6 +358,7 @@
 // applyNewer applies a peer's writes that are newer by WriteOrder, and reports whether
 // there were any.
 func (f *Follower) applyNewer(received changes, address string) bool {
+	f.source = address
 	changed := f.mirror.ApplyNewer(received.objects)
 	if changed {
 		f.config.Logger.Info("heard from a peer what the store has lost", append(f.logFields(nil), zap.String("peer", address))...)
@@ -353,6 +369,7 @@
 
 // applyChanges applies a peer's changes.
 func (f *Follower) applyChanges(received changes, address string) {
+	f.source = address
 	f.advanceRevision(received.revision)
 	f.mirror.DeferRemovals(f.config.Now().Add(received.deferFor))
 	changed := false
@@ -427,6 +444,22 @@
 
 func (f *Follower) noteContact() { f.lastContact.Store(f.config.Now().UnixNano()) }
 
+// confirmed reports when the store said that nothing newer exists.
+func (f *Follower) confirmed(at time.Time) {
+	if f.config.OnConfirmed != nil {
+		f.config.OnConfirmed(at)
+	}
+}
+
+// earlier returns the earlier of two times. A watch was answered within its timeout, however much
+// later this process, which may have been stopped, reads the answer.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (f *Follower) advanceRevision(revision metastore.Revision) {
 	f.revision.Store(uint64(max(revision, f.Revision())))
 }
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -91,6 +91,9 @@
 	if err := g.options.Registry.Register(newSearchMetrics(g.searches)); err != nil {
 		return err
 	}
+	if err := g.options.Registry.Register(freshnessCollector{g}); err != nil {
+		return err
+	}
 	if err := g.members.Register(g.peers.Mux()); err != nil {
 		return err
 	}
@@ -105,11 +108,11 @@
 	if err := exchangeServer.Register(g.peers.Mux()); err != nil {
 		return err
 	}
-	g.configs = g.newFollower(storeMetrics, g.options.ConfigKey, nil, g.applyConfigs)
-	g.servers = g.newFollower(storeMetrics, g.options.ServersPrefix, g.batchInterval, g.applyServers)
+	g.configs = g.newFollower(storeMetrics, g.options.ConfigKey, nil, g.applyConfigs, g.confirmConfig)
+	g.servers = g.newFollower(storeMetrics, g.options.ServersPrefix, g.batchInterval, g.tracked(&g.trackers.servers, g.applyServers), confirmRevisions(&g.trackers.servers))
 	followers := []*discover.Follower{g.configs, g.servers}
 	if g.options.EvacuationsPrefix != "" {
-		g.evacuationList = g.newFollower(storeMetrics, g.options.EvacuationsPrefix, nil, g.applyEvacuations)
+		g.evacuationList = g.newFollower(storeMetrics, g.options.EvacuationsPrefix, nil, g.tracked(&g.trackers.evacuations, g.applyEvacuations), confirmRevisions(&g.trackers.evacuations))
 		followers = append(followers, g.evacuationList)
 	} else {
 		g.setEvacuations(nil, 0)
@@ -131,13 +134,14 @@
 			},
 			Seeds: g.options.Seeds,
 		},
-		Pool:             pool,
-		Now:              g.options.Now,
-		Logger:           g.log,
-		Registerer:       registry,
-		OnConfigUpdate:   g.handleConfigUpdate,
-		OnSuspectRequest: func(update member.SuspectRequestUpdate) { g.crashDetector.merge(update) },
-		OnView:           g.observeView,
+		Pool:              pool,
+		Now:               g.options.Now,
+		Logger:            g.log,
+		Registerer:        registry,
+		OnConfigUpdate:    g.handleConfigUpdate,
+		OnConfigConfirmed: g.noteConfigConfirmed,
+		OnSuspectRequest:  func(update member.SuspectRequestUpdate) { g.crashDetector.merge(update) },
+		OnView:            g.observeView,
 	})
 }
 
@@ -234,13 +238,13 @@
 	return serversBatchInterval
 }
 
-func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, batchInterval func() time.Duration, onChange func([]metastore.Object, metastore.Revision)) *discover.Follower {
+func (g *Gateway) newFollower(metrics *discover.Metrics, prefix string, batchInterval func() time.Duration, onChange func([]metastore.Object, metastore.Revision), onConfirmed func(time.Time)) *discover.Follower {
 	var watchLimit func() time.Duration
 	if prefix == g.options.ConfigKey {
 		watchLimit = g.configWatchLimit
 	}
 	return discover.NewFollower(discover.Config{
-		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, OnChange: onChange,
+		Store: g.options.Store, Prefix: prefix, Now: g.options.Now, Logger: g.log, OnChange: onChange, OnConfirmed: onConfirmed,
 		Relay: g.relay, IsWatcher: g.isWatcher, WatcherCount: g.watcherCount, WatchLimit: watchLimit, Joined: g.members.Joined, BatchInterval: batchInterval, AllowStaleFirstList: prefix != g.options.ConfigKey,
 		Order: g.options.Decode.Order, Metrics: metrics,
 	})
@@ -250,9 +254,13 @@
 	for _, object := range objects {
 		if object.Key == g.options.ConfigKey {
 			g.configNews.pending.Add(1)
+			source := g.configs.Source()
+			if order, ok := g.options.Decode.Order(object); ok {
+				g.trackers.config.Arrived(g.options.Now(), order.Sequence, source)
+			}
 			g.post(func() {
 				defer g.configNews.pending.Add(-1)
-				g.applyConfig(object, "store")
+				g.applyConfig(object, source)
 			})
 		}
 	}
--- /dev/null
+++ b/gateway/freshness.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/freshness"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
+	"github.com/goldcrestspan/goldcrestspan/member"
+	"github.com/goldcrestspan/goldcrestspan/metastore"
+)
+
+// trackers track the versions of what this host follows: the configuration by the operator's
+// version, the rest by the store's revision.
+type trackers struct {
+	config, servers, evacuations freshness.Tracker
+}
+
+// each calls f for each tracker with the name that logs and metrics have for it.
+func (t *trackers) each(f func(kind string, tracker *freshness.Tracker)) {
+	f("configuration", &t.config)
+	f("servers", &t.servers)
+	f("evacuations", &t.evacuations)
+}
+
+// noteConfigConfirmed is called on the membership control loop.
+func (g *Gateway) noteConfigConfirmed(c member.ConfigConfirmation) {
+	by := string(c.By)
+	if by == "" {
+		by = freshness.Store
+	}
+	g.trackers.config.Confirmed(c.Version, c.At, by)
+}
+
+// confirmConfig records that the store has nothing newer than what has arrived, and tells the
+// peers, unless that still waits to be put in force.
+func (g *Gateway) confirmConfig(at time.Time) {
+	c, state := g.inForce.Load(), g.trackers.config.State()
+	if c == nil || state.Newest != c.version() {
+		return
+	}
+	g.trackers.config.Confirmed(c.version(), at, freshness.Store)
+	g.members.ConfirmConfig(member.ConfigConfirmation{At: at, Generation: uint64(c.revision), Version: c.version()})
+}
+
+// confirmRevisions returns a function that records that the store has nothing newer than the
+// revision in force.
+func confirmRevisions(tracker *freshness.Tracker) func(at time.Time) {
+	return func(at time.Time) { tracker.Confirmed(tracker.State().InForce, at, freshness.Store) }
+}
+
+// tracked wraps the application of a list, so that one that never ends is seen.
+func (g *Gateway) tracked(tracker *freshness.Tracker, apply func([]metastore.Object, metastore.Revision)) func([]metastore.Object, metastore.Revision) {
+	return func(objects []metastore.Object, revision metastore.Revision) {
+		tracker.Arrived(g.options.Now(), uint64(revision), freshness.Store)
+		apply(objects, revision)
+		tracker.Applied(g.options.Now(), uint64(revision))
+	}
+}
+
+// rejectConfig records that an arrived configuration can't be put in force.
+func (g *Gateway) rejectConfig(object metastore.Object) {
+	if order, ok := g.options.Decode.Order(object); ok {
+		g.trackers.config.Rejected(order.Sequence)
+	}
+}
+
+const (
+	// freshnessCheckInterval is the interval at which this host checks for versions that it
+	// knows of and that are not in force.
+	freshnessCheckInterval = 500 * time.Millisecond
+	// lateAfter is when such a version is logged, and again at each further lateLogInterval.
+	lateAfter       = time.Second
+	lateLogInterval = 2 * time.Second
+)
+
+// watchFreshness logs versions that are not in force in time. It waits for none of the goroutines
+// that it reports on.
+func (g *Gateway) watchFreshness(ctx context.Context) error {
+	ticker := time.NewTicker(freshnessCheckInterval)
+	defer ticker.Stop()
+	loggedAt := make(map[string]time.Time)
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		now := g.options.Now()
+		g.trackers.each(func(kind string, tracker *freshness.Tracker) {
+			state := tracker.State()
+			if state.Behind(now) < lateAfter || now.Sub(loggedAt[kind]) < lateLogInterval {
+				return
+			}
+			loggedAt[kind] = now
+			g.logLate(now, kind, state)
+		})
+	}
+}
+
+func (g *Gateway) logLate(now time.Time, kind string, s freshness.State) {
+	member, gateway := g.members.Loop(), g.loop.State(now, len(g.events))
+	g.log.Warn("a newer version is not in force", zap.String("kind", kind),
+		zap.Uint64("in_force", s.InForce), zap.Uint64("newest", s.Newest), zap.String("newest_by", s.NewestBy),
+		zap.Duration("known_for", s.Behind(now)), zap.String("obstacle", string(s.Obstacle)),
+		zap.String("confirmed_by", s.Confirmed.By), sinceField("confirmed_ago", now, s.Confirmed.At),
+		sinceField("store_ago", now, g.configs.LastContact()), sinceField("peers_ago", now, g.members.LastPeerContact()),
+		zap.Int("member_queue", member.Queued), zap.Duration("member_busy", member.Busy),
+		zap.Int("gateway_queue", gateway.Queued), zap.Duration("gateway_busy", gateway.Busy))
+}
+
+// sinceField is a log field of the time that has passed since an event; without one if it never
+// happened.
+func sinceField(key string, now, at time.Time) zap.Field {
+	if at.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration(key, now.Sub(at))
+}
+
+// freshnessCollector reads the trackers and the control loops when metrics are collected, so that
+// none of them has to run for its metrics to be true.
+type freshnessCollector struct{ g *Gateway }
+
+var (
+	versionDesc = prometheus.NewDesc("goldcrestspan_version",
+		"Version in force, and the newest known: of the configuration, or the store's revision of servers and evacuations within its era.",
+		[]string{"kind", "state"}, nil)
+	behindDesc = prometheus.NewDesc("goldcrestspan_version_behind_seconds",
+		"For how long a version above the one in force has been known; 0: none is.", []string{"kind"}, nil)
+	confirmedDesc = prometheus.NewDesc("goldcrestspan_version_confirmed_timestamp_seconds",
+		"When the store last said that nothing above the version in force exists, by who passed it on: the store itself or a peer.",
+		[]string{"kind", "by"}, nil)
+	queuedDesc = prometheus.NewDesc("goldcrestspan_control_queue_events",
+		"Events that wait for a control loop.", []string{"loop"}, nil)
+	busyDesc = prometheus.NewDesc("goldcrestspan_control_busy_seconds",
+		"For how long a control loop has been handling its present event; 0: it waits for one.", []string{"loop"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c freshnessCollector) Describe(descs chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{versionDesc, behindDesc, confirmedDesc, queuedDesc, busyDesc} {
+		descs <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c freshnessCollector) Collect(metrics chan<- prometheus.Metric) {
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	now := c.g.options.Now()
+	c.g.trackers.each(func(kind string, tracker *freshness.Tracker) {
+		s := tracker.State()
+		number := func(version uint64) float64 { return float64(metastore.Revision(version).Counter()) }
+		gauge(versionDesc, number(s.InForce), kind, "in_force")
+		gauge(versionDesc, number(s.Newest), kind, "newest")
+		gauge(behindDesc, s.Behind(now).Seconds(), kind)
+		if at := s.Confirmed.At; !at.IsZero() {
+			gauge(confirmedDesc, float64(at.UnixMilli())/1000, kind, confirmedLabel(s.Confirmed.By))
+		}
+	})
+	for loop, state := range map[string]controlloop.State{"member": c.g.members.Loop(), "gateway": c.g.loop.State(now, len(c.g.events))} {
+		gauge(queuedDesc, float64(state.Queued), loop)
+		gauge(busyDesc, state.Busy.Seconds(), loop)
+	}
+}
+
+// confirmedLabel keeps the hosts' names out of the labels, of which there are thousands.
+func confirmedLabel(by string) string {
+	if by == freshness.Store {
+		return by
+	}
+	return "peer"
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -130,6 +131,7 @@
 	budgetBasis     budgetBasis
 	inForce         atomic.Pointer[configuration]
 	configNews      configNews
+	trackers        trackers
 	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
 	split           atomic.Pointer[splitServices]
@@ -143,6 +145,7 @@
 	serversRevision atomic.Uint64
 	events          chan func()   // for the control loop
 	controlDone     chan struct{} // closed when the control loop ends
+	loop            controlloop.Meter
 
 	// inService holds the backend servers that are not leaving, by name.
 	inService atomic.Pointer[map[string]backend.Server]
@@ -244,6 +247,7 @@
 	}
 	run("registration", g.register)
 	run("load", g.measureLoad)
+	run("freshness", g.watchFreshness)
 	run("limits", g.quotas.run)
 	run("processor", g.searches.measureProcessorDelay)
 	run("stop", func(runCtx context.Context) error {
@@ -264,7 +268,9 @@
 	for {
 		select {
 		case event := <-g.events:
+			g.loop.Begin(g.options.Now())
 			event()
+			g.loop.End()
 		case <-ctx.Done():
 			return nil
 		}
@@ -290,6 +296,7 @@
 	config, err := g.options.Decode.Config(object)
 	if err != nil {
 		g.log.Error("failed to decode configuration; keeping the current one", observe.Revision("revision", object.Revision), zap.String("source", source), observe.ErrorText(err))
+		g.rejectConfig(object)
 		return
 	}
 	if previous != nil && config.Version < previous.version() {
@@ -299,9 +306,13 @@
 	next, err := newConfiguration(object.Revision, config, previous)
 	if err != nil {
 		g.log.Error("invalid configuration; keeping the current one", observe.Revision("revision", object.Revision), zap.String("source", source), observe.ErrorText(err))
+		g.rejectConfig(object)
 		return
 	}
 	g.inForce.Store(next)
+	g.trackers.config.Applied(g.options.Now(), config.Version)
+	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
+		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 	g.homes.Refresh()
 	g.searches.controller.Reconfigure(next.compiled)
 	g.crashDetector.registry.Reconfigure(next.compiled)
@@ -311,8 +322,6 @@
 	g.remoteForecasts.prune(next.hasService)
 	g.countZones()
 	g.announce()
-	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
-		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 }
 
 func (g *Gateway) homesConfig() *bundle.Config {
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -86,6 +86,9 @@
 // control loop.
 func (g *Gateway) handleConfigUpdate(update member.ConfigUpdate) {
 	g.configNews.announced(g.options.Now(), update.Store.ConfigVersion, versionOf(g.inForce.Load()))
+	if version := update.Store.ConfigVersion; version > 0 {
+		g.trackers.config.Announced(g.options.Now(), version, string(update.From))
+	}
 	peers := g.peersToAsk(update)
 	g.servers.Notify(discover.Hint{Peers: peers, Revision: update.Store.Servers})
 	if g.evacuationList != nil {
--- a/member/agent.go
+++ b/member/agent.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/peer"
@@ -56,6 +57,8 @@
 	// OnConfigUpdate is called for a configuration newer than the announced one, again
 	// with each message until AnnounceConfig has been called for it.
 	OnConfigUpdate func(ConfigUpdate)
+	// OnConfigConfirmed is called for each later confirmation of the announced configuration.
+	OnConfigConfirmed func(ConfigConfirmation)
 	// OnBackendUpdate is called once for each incarnation of a backend server that leaves.
 	OnBackendUpdate func(BackendUpdate)
 	// OnSuspectRequest is called once for each suspected request.
@@ -78,6 +81,7 @@
 	lastPeerContact atomic.Int64 // Unix nanoseconds; 0: never
 	joined          atomic.Bool
 	incarnation     atomic.Uint64
+	loop            controlloop.Meter
 
 	// Owned by the control loop.
 	membership       *Membership
@@ -113,6 +117,9 @@
 // View returns the newest published view. It is never nil.
 func (a *Agent) View() *View { return a.view.Load() }
 
+// Loop returns the state of the control loop.
+func (a *Agent) Loop() controlloop.State { return a.loop.State(a.config.Now(), len(a.events)) }
+
 // Joined reports whether a peer has sent its complete view.
 func (a *Agent) Joined() bool { return a.joined.Load() }
 
@@ -149,6 +156,11 @@
 	a.post(func(now time.Time, m *Membership) { m.AnnounceStore(now, revisions) })
 }
 
+// ConfirmConfig gossips that the store said that a configuration is the newest.
+func (a *Agent) ConfirmConfig(c ConfigConfirmation) {
+	a.post(func(now time.Time, m *Membership) { m.ConfirmConfig(now, c) })
+}
+
 // AnnounceBackend gossips that an incarnation of a backend server is leaving.
 func (a *Agent) AnnounceBackend(update BackendUpdate) {
 	a.post(func(now time.Time, m *Membership) { m.AnnounceBackend(now, update) })
@@ -239,10 +251,13 @@
 			a.depart(context.WithoutCancel(ctx))
 			return nil
 		case event := <-a.events:
+			a.loop.Begin(a.config.Now())
 			event(a.config.Now(), a.membership)
 		case <-timer.C:
+			a.loop.Begin(a.config.Now())
 		}
 		a.step(callCtx)
+		a.loop.End()
 		timer.Reset(a.untilNextDue())
 	}
 }
@@ -263,6 +278,9 @@
 }
 
 func (a *Agent) deliver(received ReceivedUpdates) {
+	if a.config.OnConfigConfirmed != nil && !received.Confirmation.At.IsZero() {
+		a.config.OnConfigConfirmed(received.Confirmation)
+	}
 	for _, update := range received.Configs {
 		if a.config.OnConfigUpdate != nil {
 			a.config.OnConfigUpdate(update)
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -89,6 +89,8 @@
 	Configs  []ConfigUpdate // newer than what this host has announced
 	Backends []BackendUpdate
 	Suspects []SuspectRequestUpdate
+	// Confirmation is of the announced configuration; its At is zero if there is none.
+	Confirmation ConfigConfirmation
 }
 
 // TakeReceived returns the updates received since the last call.
@@ -120,6 +122,9 @@
 }
 
 func (m *Membership) announceRevisions(now time.Time, generation uint64, manifestHash []byte, store StoreRevisions) {
+	if generation != m.announced.GetGeneration() || store.ConfigVersion != m.announced.GetConfigVersion() {
+		m.confirmation = ConfigConfirmation{}
+	}
 	m.announced = &memberpb.ConfigNews{
 		Generation: generation, ManifestHash: manifestHash,
 		ServersRevision: uint64(store.Servers), EvacuationsRevision: uint64(store.Evacuations),
@@ -207,7 +212,7 @@
 	targets := m.randomNeighbors(pushFanout, nil)
 	request := &memberpb.PushRequest{Sender: m.senderUpdate(now), News: &memberpb.News{}}
 	if m.urgentConfig {
-		request.News.Config = m.announced
+		request.News.Config = m.announcedConfig(now)
 	}
 	budget := m.broadcasts.available(now)
 	for _, b := range m.urgent {
@@ -256,14 +261,14 @@
 	}
 }
 
-func (m *Membership) configGossip() *memberpb.News {
-	return &memberpb.News{Config: m.announced}
+func (m *Membership) configGossip(now time.Time) *memberpb.News {
+	return &memberpb.News{Config: m.announcedConfig(now)}
 }
 
 // gossipFor collects the updates for one message: the receiver's own state if it is
 // suspect or dead, queued updates, records for anti-entropy, and loads.
 func (m *Membership) gossipFor(now time.Time, receiver ident.HostID) *memberpb.News {
-	gossip := m.configGossip()
+	gossip := m.configGossip(now)
 	r := m.records[receiver]
 	if r != nil && (r.State == StateSuspect || r.isDead()) {
 		gossip.Hosts = append(gossip.Hosts, r.stateUpdate())
--- a/member/membership.go
+++ b/member/membership.go
@@ -52,6 +52,7 @@
 	sendAddressesUntil time.Time    // each message carries this host's addresses until then
 	recentLoads        []*record
 	announced          *memberpb.ConfigNews // by this host, of itself
+	confirmation       ConfigConfirmation   // of announced
 	seenBackends       *dedupCache[updateKey, *memberpb.BackendNews]
 	seenRequests       *dedupCache[updateKey, *memberpb.SuspectRequestNews]
 	received           ReceivedUpdates
--- a/member/neighbors.go
+++ b/member/neighbors.go
@@ -211,12 +211,12 @@
 	if drawn >= len(unknown) {
 		return append(calls, m.probeCall(now, m.dead[drawn-len(unknown)], m.lastSequence))
 	}
-	return append(calls, m.probeAddress(unknown[drawn]))
+	return append(calls, m.probeAddress(now, unknown[drawn]))
 }
 
 // probeAddress probes a host of which only the address is known and asks it to
 // reply with its addresses.
-func (m *Membership) probeAddress(address string) Call {
+func (m *Membership) probeAddress(now time.Time, address string) Call {
 	return Call{
 		Address: address,
 		Timeout: m.config.ProbeTimeout,
@@ -224,7 +224,7 @@
 			Sender:        m.self.fullUpdate(),
 			Sequence:      m.lastSequence,
 			WantAddresses: true,
-			News:          m.configGossip(),
+			News:          m.configGossip(now),
 		},
 	}
 }
--- a/member/probe.go
+++ b/member/probe.go
@@ -39,6 +39,7 @@
 	target      *record // nil: a reconnect attempt, whose failure has no effect
 	incarnation ident.Incarnation
 	sequence    uint64
+	sentAt      time.Time
 	indirectAt  time.Time // when other hosts are asked to probe; zero: done or never
 	deadline    time.Time // when the probe has failed
 	isRetry     bool      // a retry after a probe that failed
@@ -112,7 +113,7 @@
 func (m *Membership) trackReconnect(now time.Time) {
 	m.counters.Reconnects++
 	m.lastSequence++
-	m.probes = append(m.probes, &probe{sequence: m.lastSequence, deadline: now.Add(m.config.ProbeTimeout)})
+	m.probes = append(m.probes, &probe{sequence: m.lastSequence, sentAt: now, deadline: now.Add(m.config.ProbeTimeout)})
 }
 
 func (m *Membership) probeNextNeighbor(now time.Time, calls []Call) []Call {
@@ -126,6 +127,7 @@
 		target:      target,
 		incarnation: target.Incarnation,
 		sequence:    m.lastSequence,
+		sentAt:      now,
 		indirectAt:  now.Add(m.config.DirectProbeTimeout),
 		deadline:    now.Add(m.config.ProbeTimeout),
 	})
@@ -185,6 +187,7 @@
 		target:      first.target,
 		incarnation: first.incarnation,
 		sequence:    m.lastSequence,
+		sentAt:      now,
 		indirectAt:  now.Add(retryDirectTimeout),
 		deadline:    now.Add(retryDirectTimeout + m.config.ProbeTimeout - m.config.DirectProbeTimeout),
 		isRetry:     true,
@@ -209,7 +212,7 @@
 				Sequence:      p.sequence,
 				Target:        string(p.target.ID),
 				TargetAddress: p.target.PeerAddress,
-				News:          m.configGossip(),
+				News:          m.configGossip(now),
 			},
 		})
 	}
@@ -257,6 +260,7 @@
 			target:      r,
 			incarnation: r.Incarnation,
 			sequence:    m.lastSequence,
+			sentAt:      now,
 			deadline:    now.Add(m.config.ProbeTimeout),
 		})
 		calls = append(calls, m.probeCall(now, r, m.lastSequence))
@@ -297,6 +301,9 @@
 		m.counters.LateReplies++
 		return
 	}
+	if i := m.findProbe(sequence); i >= 0 {
+		m.confirmFromPeer(m.probes[i].sentAt, reply.Sender, reply.News.GetConfig())
+	}
 	m.completeProbe(now, sequence, reply.Sender)
 }
 
--- a/member/serve.go
+++ b/member/serve.go
@@ -65,7 +65,7 @@
 	answer := &memberpb.ProbeForReply{
 		Sender:   m.senderUpdate(now),
 		Sequence: request.Sequence,
-		News:     m.configGossip(),
+		News:     m.configGossip(now),
 	}
 	if reply == nil {
 		return answer
@@ -94,7 +94,7 @@
 		return nil
 	}
 	m.merge(now, request.Sender, nil)
-	gossip := m.configGossip()
+	gossip := m.configGossip(now)
 	for _, r := range m.sorted {
 		gossip.Hosts = append(gossip.Hosts, r.fullUpdate())
 	}
