--- a/member/agent.go
+++ b/member/agent.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// eventQueueSize is the capacity of the control loop's queue. Callers block
-	// when it is full, up to their own deadline.
+	// eventQueueSize is the capacity of the control loop's queue of peers' calls and of the results
+	// of own calls. These wait when it is full, up to their own deadline.
 	eventQueueSize = 256
 	// The interval between views that differ only in loads, and its growth with
 	// the fleet: callers are sent to more hosts within a second of a burst, and a fleet of
@@ -77,6 +77,8 @@
 	events  chan func(now time.Time, m *Membership)
 	done    chan struct{}
 
+	announcements *announcements
+
 	view            atomic.Pointer[View]
 	lastPeerContact atomic.Int64 // Unix nanoseconds; 0: never
 	joined          atomic.Bool
@@ -102,10 +104,13 @@
 	}
 	now := config.Now()
 	a := &Agent{
-		config:     config,
-		metrics:    newMetrics(config.Registerer),
-		events:     make(chan func(time.Time, *Membership), eventQueueSize),
-		done:       make(chan struct{}),
+		config:  config,
+		metrics: newMetrics(config.Registerer),
+		events:  make(chan func(time.Time, *Membership), eventQueueSize),
+		done:    make(chan struct{}),
+
+		announcements: newAnnouncements(),
+
 		membership: New(config.Membership, now, config.Rand),
 		startedAt:  now,
 		relaySlots: make(chan struct{}, maxRelayedProbes),
@@ -118,7 +123,9 @@
 func (a *Agent) View() *View { return a.view.Load() }
 
 // Loop returns the state of the control loop.
-func (a *Agent) Loop() controlloop.State { return a.loop.State(a.config.Now(), len(a.events)) }
+func (a *Agent) Loop() controlloop.State {
+	return a.loop.State(a.config.Now(), len(a.events)+a.announcements.others.Len())
+}
 
 // Joined reports whether a peer has sent its complete view.
 func (a *Agent) Joined() bool { return a.joined.Load() }
@@ -146,46 +153,6 @@
 	}, timeout)
 }
 
-// AnnounceConfig gossips the configuration that this host has in force.
-func (a *Agent) AnnounceConfig(generation uint64, manifestHash []byte) {
-	a.post(func(now time.Time, m *Membership) { m.AnnounceConfig(now, generation, manifestHash) })
-}
-
-// AnnounceStore gossips the store revisions that this host has applied.
-func (a *Agent) AnnounceStore(revisions StoreRevisions) {
-	a.post(func(now time.Time, m *Membership) { m.AnnounceStore(now, revisions) })
-}
-
-// ConfirmConfig gossips that the store said that a configuration is the newest.
-func (a *Agent) ConfirmConfig(c ConfigConfirmation) {
-	a.post(func(now time.Time, m *Membership) { m.ConfirmConfig(now, c) })
-}
-
-// AnnounceBackend gossips that an incarnation of a backend server is leaving.
-func (a *Agent) AnnounceBackend(update BackendUpdate) {
-	a.post(func(now time.Time, m *Membership) { m.AnnounceBackend(now, update) })
-}
-
-// AnnounceSuspectRequest gossips a request that was in flight at a crashed server.
-func (a *Agent) AnnounceSuspectRequest(update SuspectRequestUpdate) {
-	a.post(func(now time.Time, m *Membership) { m.AnnounceSuspectRequest(now, update) })
-}
-
-// ReportUnreachable reports a host that traffic could not reach.
-func (a *Agent) ReportUnreachable(id ident.HostID) {
-	a.post(func(now time.Time, m *Membership) { m.ReportUnreachable(now, id) })
-}
-
-// SetLoad sets this host's load, in thousandths.
-func (a *Agent) SetLoad(permille uint32) {
-	a.post(func(_ time.Time, m *Membership) { m.SetLoad(permille) })
-}
-
-// AddSeeds adds peer addresses to call while no peer is known.
-func (a *Agent) AddSeeds(addresses []string) {
-	a.post(func(_ time.Time, m *Membership) { m.config.Seeds = append(m.config.Seeds, addresses...) })
-}
-
 // Leave announces a planned stop and returns once it has been sent or ctx ends.
 // The agent keeps running so that work in flight can finish; cancelling Run's
 // context then announces that this host is gone.
@@ -201,7 +168,8 @@
 	return nil
 }
 
-// post sends an event to the control loop. After the agent has stopped it does nothing.
+// post sends an event to the control loop and waits while its queue is full. Control loops and
+// their callbacks use announce instead. After the agent has stopped it does nothing.
 func (a *Agent) post(event func(time.Time, *Membership)) {
 	select {
 	case a.events <- event:
@@ -253,6 +221,9 @@
 		case event := <-a.events:
 			a.loop.Begin(a.config.Now())
 			event(a.config.Now(), a.membership)
+		case <-a.announcements.others.Ready():
+			a.loop.Begin(a.config.Now())
+			a.announcements.apply(a.config.Now(), a.membership)
 		case <-timer.C:
 			a.loop.Begin(a.config.Now())
 		}
--- a/member/metrics.go
+++ b/member/metrics.go
@@ -14,7 +14,10 @@
 	bytesReceived prometheus.Counter
 	events        *prometheus.CounterVec
 	hosts         *prometheus.GaugeVec
-	lastTotals    map[string]uint64 // totals at the last observe
+
+	announcementsDropped prometheus.Counter
+
+	lastTotals map[string]uint64 // totals at the last observe
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -26,6 +29,9 @@
 			Namespace: namespace, Name: "received_bytes_total", Help: "Bytes of membership messages received.",
 		}),
 		lastTotals: make(map[string]uint64),
+		announcementsDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "announcements_dropped_total", Help: "Announcements of this host dropped because too many waited.",
+		}),
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "events_total", Help: "What happened, by event.",
 		}, []string{"event"}),
@@ -34,7 +40,7 @@
 		}, []string{"state"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.bytesSent, m.bytesReceived, m.events, m.hosts)
+		registerer.MustRegister(m.bytesSent, m.bytesReceived, m.events, m.hosts, m.announcementsDropped)
 	}
 	return m
 }
