--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -3,6 +3,7 @@
 package freshness
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,8 +11,13 @@
 // Store is the source of what the metadata store itself has answered.
 const Store = "store"
 
-// maxPending bounds the versions that are known and not in force.
-const maxPending = 32
+const (
+	// maxPending bounds the versions that are known and not in force.
+	maxPending = 32
+	// announcementTTL is how long a version counts that hosts have announced and that has not
+	// arrived. A host repeats it with each message: if none does, it may be lost.
+	announcementTTL = 10 * time.Second
+)
 
 // Confirmation says that no version above the one in force existed at a time.
 type Confirmation struct {
@@ -50,15 +56,31 @@
 	return max(now.Sub(s.BehindSince), 0)
 }
 
+// HeardAt returns when this host last knew that nothing newer exists, given when it last heard
+// from the store or a peer: later contact counts only until a newer version became known.
+func (s State) HeardAt(contact time.Time) time.Time {
+	if !s.BehindSince.IsZero() && s.BehindSince.Before(contact) {
+		return s.BehindSince
+	}
+	return contact
+}
+
 // sighting is a version that is known and not in force.
 type sighting struct {
-	version  uint64
-	since    time.Time
-	by       string
-	arrived  bool
-	rejected bool
+	version   uint64
+	since     time.Time
+	by        string
+	heardAt   time.Time // when it was last announced
+	announced bool      // a host has it in force
+	confirmed Confirmation
+	arrived   bool
+	rejected  bool
 }
 
+// counts reports whether the version should be in force here. A version that can't be, and that no
+// host has, must not keep the whole fleet from serving.
+func (s sighting) counts() bool { return s.announced || !s.rejected }
+
 // Tracker tracks the versions of one kind, such as the configuration. Versions only rise. It
 // is safe for concurrent use and never waits for the goroutines that report to it, so that
 // one that hangs is seen by the others.
@@ -68,11 +90,13 @@
 	pending []sighting
 }
 
-// Announced records that a host has a version.
+// Announced records that a host has a version in force.
 func (t *Tracker) Announced(now time.Time, version uint64, by string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sight(now, version, by)
+	if s := t.sight(now, version, by); s != nil {
+		s.announced, s.heardAt = true, now
+	}
 }
 
 // Arrived records that a version itself has arrived and is about to be put in force.
@@ -126,31 +150,54 @@
 	}
 	s.InForce, s.InForceSince, s.Confirmed = version, now, Confirmation{}
 	for len(t.pending) > 0 && t.pending[0].version <= version {
+		if t.pending[0].version == version {
+			s.Confirmed = t.pending[0].confirmed
+		}
 		t.pending = t.pending[1:]
 	}
 }
 
-// Confirmed records that the version was the newest at a time. It has no effect if another
-// version is in force.
+// Confirmed records that the version, which is in force or has arrived, was the newest at a time.
 func (t *Tracker) Confirmed(version uint64, at time.Time, by string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := &t.state; version == s.InForce && at.After(s.Confirmed.At) {
-		s.Confirmed = Confirmation{By: by, At: at}
+	confirm := func(c *Confirmation) {
+		if at.After(c.At) {
+			*c = Confirmation{By: by, At: at}
+		}
+	}
+	if version == t.state.InForce {
+		confirm(&t.state.Confirmed)
+	}
+	for i := range t.pending {
+		if t.pending[i].version == version {
+			confirm(&t.pending[i].confirmed)
+		}
+	}
+}
+
+// forgetLost drops the versions above the one in force if no host announces the newest any more.
+func (t *Tracker) forgetLost(now time.Time) {
+	if n := len(t.pending); n > 0 && !t.pending[n-1].arrived && now.Sub(t.pending[n-1].heardAt) > announcementTTL {
+		t.pending = nil
 	}
 }
 
 // State returns what is known now.
-func (t *Tracker) State() State {
+func (t *Tracker) State(now time.Time) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetLost(now)
 	s := t.state
 	s.Newest = s.InForce
 	if len(t.pending) == 0 {
 		return s
 	}
 	newest := t.pending[len(t.pending)-1]
-	s.Newest, s.NewestBy, s.BehindSince = newest.version, newest.by, t.pending[0].since
+	s.Newest, s.NewestBy = newest.version, newest.by
+	if i := slices.IndexFunc(t.pending, sighting.counts); i >= 0 {
+		s.BehindSince = t.pending[i].since
+	}
 	switch {
 	case newest.rejected:
 		s.Obstacle = ObstacleRejected
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -253,15 +253,12 @@
 func (g *Gateway) applyConfigs(objects []metastore.Object, _ metastore.Revision) {
 	for _, object := range objects {
 		if object.Key == g.options.ConfigKey {
-			g.configNews.pending.Add(1)
 			source := g.configs.Source()
 			if order, ok := g.options.Decode.Order(object); ok {
+				g.arrivedConfig = order.Sequence
 				g.trackers.config.Arrived(g.options.Now(), order.Sequence, source)
 			}
-			g.post(func() {
-				defer g.configNews.pending.Add(-1)
-				g.applyConfig(object, source)
-			})
+			g.post(func() { g.applyConfig(object, source) })
 		}
 	}
 }
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +10,7 @@
 	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/route"
@@ -48,7 +48,7 @@
 	}
 	who, credential, err := c.customers.Identify(q.Authorization)
 	q.Authorization, q.credential = nil, credential
-	known := err == nil && !g.keysOutdated(c)
+	known := err == nil && !g.keysOutdated()
 	switch {
 	case r.Public && known:
 		q.Forward.Customer = who.Name // without its key, which the request does not depend on
@@ -95,13 +95,27 @@
 // configConfirmed reports whether the store or a peer has confirmed the configuration recently
 // enough for its keys to be complete.
 func (g *Gateway) configConfirmed(c *configuration) bool {
-	return g.configNews.confirmed(g.options.Now(), c.version(), g.configContact(), g.options.Customers.ConfigTimeout)
+	now := g.options.Now()
+	return confirmed(now, g.trackers.config.State(now), c.version(), g.configContact(), g.options.Customers.ConfigTimeout)
 }
 
 // keysOutdated reports whether keys must be refused because removals may not be known here.
-func (g *Gateway) keysOutdated(c *configuration) bool {
-	o := &g.options.Customers
-	return o.StrictRevocation && !g.configNews.heard(g.options.Now(), c.version(), g.configContact(), o.RevocationTimeout)
+func (g *Gateway) keysOutdated() bool {
+	o, now := &g.options.Customers, g.options.Now()
+	return o.StrictRevocation && !heard(now, g.trackers.config.State(now), g.configContact(), o.RevocationTimeout)
+}
+
+// confirmed reports whether no version above the given one is known, and the store or a peer was
+// heard within the timeout. Each answer of a peer comes with the peer's version, which is recorded
+// before the answer counts as contact.
+func confirmed(now time.Time, s freshness.State, version uint64, contact time.Time, timeout time.Duration) bool {
+	return s.Newest <= version && now.Sub(contact) <= timeout
+}
+
+// heard reports whether this host knew within the timeout that nothing newer than what it has in
+// force existed.
+func heard(now time.Time, s freshness.State, contact time.Time, timeout time.Duration) bool {
+	return now.Sub(s.HeardAt(contact)) <= timeout
 }
 
 // configContact is when the store last answered about the configuration, or a peer last answered
@@ -129,47 +143,6 @@
 	return limit / 2
 }
 
-// configNews is what this host knows of configuration versions that are not in force here. Each
-// answer of a peer comes with the version that the peer has, which is recorded before the answer
-// counts as contact; a peer with an equal or older version thereby confirms this host's.
-type configNews struct {
-	newest  atomic.Uint64 // version announced by a peer
-	behind  atomic.Int64  // when newest came above the version in force, in Unix nanoseconds
-	pending atomic.Int64  // configurations that were received and not yet put in force
-}
-
-// announced records the version of a peer.
-func (n *configNews) announced(now time.Time, version, inForce uint64) {
-	if version <= max(n.newest.Load(), inForce) {
-		return
-	}
-	if n.newest.Load() <= inForce {
-		n.behind.Store(now.UnixNano())
-	}
-	n.newest.Store(version)
-}
-
-// isBehind reports whether a newer configuration than the given version exists.
-func (n *configNews) isBehind(version uint64) bool {
-	return n.newest.Load() > version || n.pending.Load() > 0
-}
-
-// confirmed reports whether the version was confirmed as the newest within the timeout.
-func (n *configNews) confirmed(now time.Time, version uint64, contact time.Time, timeout time.Duration) bool {
-	return !n.isBehind(version) && now.Sub(contact) <= timeout
-}
-
-// heard reports whether the version was the newest that this host knew of at some time within
-// the timeout, and it heard from the store or a peer within the timeout.
-func (n *configNews) heard(now time.Time, version uint64, contact time.Time, timeout time.Duration) bool {
-	if n.newest.Load() > version {
-		if since := time.Unix(0, n.behind.Load()); since.Before(contact) {
-			contact = since
-		}
-	}
-	return now.Sub(contact) <= timeout
-}
-
 // checkKey decides whether a request may still be sent: its customer's key may have been removed
 // since it was identified, here or at another host.
 func (g *Gateway) checkKey(f *forward.Request) eligible.Reason {
@@ -180,7 +153,7 @@
 	switch {
 	case c.customers.WasRemoved(f.Credential):
 		return eligible.KeyRemoved
-	case g.keysOutdated(c):
+	case g.keysOutdated():
 		return eligible.KeysOutdated
 	default:
 		return eligible.Allowed
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -35,21 +35,25 @@
 	g.trackers.config.Confirmed(c.Version, c.At, by)
 }
 
-// confirmConfig records that the store has nothing newer than what has arrived, and tells the
-// peers, unless that still waits to be put in force.
+// confirmConfig records that the store has nothing newer than the configuration that has arrived. It
+// runs on the goroutine of the configuration's follower.
 func (g *Gateway) confirmConfig(at time.Time) {
-	c, state := g.inForce.Load(), g.trackers.config.State()
-	if c == nil || state.Newest != c.version() {
-		return
+	g.trackers.config.Confirmed(g.arrivedConfig, at, freshness.Store)
+	g.passOnConfirmation()
+}
+
+// passOnConfirmation tells the peers what the store has confirmed of the configuration in force.
+func (g *Gateway) passOnConfirmation() {
+	c, state := g.inForce.Load(), g.trackers.config.State(g.options.Now())
+	if c != nil && state.InForce == c.version() && state.Confirmed.By == freshness.Store {
+		g.members.ConfirmConfig(member.ConfigConfirmation{At: state.Confirmed.At, Generation: uint64(c.revision), Version: c.version()})
 	}
-	g.trackers.config.Confirmed(c.version(), at, freshness.Store)
-	g.members.ConfirmConfig(member.ConfigConfirmation{At: at, Generation: uint64(c.revision), Version: c.version()})
 }
 
 // confirmRevisions returns a function that records that the store has nothing newer than the
 // revision in force.
 func confirmRevisions(tracker *freshness.Tracker) func(at time.Time) {
-	return func(at time.Time) { tracker.Confirmed(tracker.State().InForce, at, freshness.Store) }
+	return func(at time.Time) { tracker.Confirmed(tracker.State(at).InForce, at, freshness.Store) }
 }
 
 // tracked wraps the application of a list, so that one that never ends is seen.
@@ -68,19 +72,23 @@
 	}
 }
 
+// outdated returns why this host must not serve by what it has in force.
+func (g *Gateway) outdated() freshness.Reason {
+	now := g.options.Now()
+	return g.gate.Check(now, g.trackers.config.State(now), g.trackers.servers.State(now), g.trackers.evacuations.State(now))
+}
+
 const (
-	// freshnessCheckInterval is the interval at which this host checks for versions that it
-	// knows of and that are not in force.
-	freshnessCheckInterval = 500 * time.Millisecond
 	// lateAfter is when such a version is logged, and again at each further lateLogInterval.
 	lateAfter       = time.Second
 	lateLogInterval = 2 * time.Second
 )
 
-// watchFreshness logs versions that are not in force in time. It waits for none of the goroutines
+// watchFreshness shows the gate that this process runs, and logs versions that are not in force in
+// time. It waits for none of the goroutines
 // that it reports on.
 func (g *Gateway) watchFreshness(ctx context.Context) error {
-	ticker := time.NewTicker(freshnessCheckInterval)
+	ticker := time.NewTicker(g.gate.TickInterval())
 	defer ticker.Stop()
 	loggedAt := make(map[string]time.Time)
 	for {
@@ -90,8 +98,9 @@
 			return nil
 		}
 		now := g.options.Now()
+		g.gate.Tick(now)
 		g.trackers.each(func(kind string, tracker *freshness.Tracker) {
-			state := tracker.State()
+			state := tracker.State(now)
 			if state.Behind(now) < lateAfter || now.Sub(loggedAt[kind]) < lateLogInterval {
 				return
 			}
@@ -154,7 +163,7 @@
 	}
 	now := c.g.options.Now()
 	c.g.trackers.each(func(kind string, tracker *freshness.Tracker) {
-		s := tracker.State()
+		s := tracker.State(now)
 		number := func(version uint64) float64 { return float64(metastore.Revision(version).Counter()) }
 		gauge(versionDesc, number(s.InForce), kind, "in_force")
 		gauge(versionDesc, number(s.Newest), kind, "newest")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/eligible"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
@@ -130,8 +131,9 @@
 	budgetPlacement *placement
 	budgetBasis     budgetBasis
 	inForce         atomic.Pointer[configuration]
-	configNews      configNews
 	trackers        trackers
+	gate            *freshness.Gate
+	arrivedConfig   uint64                         // version of the configuration that the follower has; used on its goroutine
 	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
 	split           atomic.Pointer[splitServices]
@@ -175,6 +177,7 @@
 		log:          options.Logger,
 		events:       make(chan func(), eventQueueSize),
 		controlDone:  make(chan struct{}),
+		gate:         freshness.NewGate(options.Customers.ConfigTimeout),
 		serverStates: make(map[string]serverState),
 		warming:      &warming{self: ident.HostID(options.Name), zone: options.Zone, tolerance: options.Warmup},
 	}
@@ -202,10 +205,10 @@
 const eventQueueSize = 64
 
 // Ready reports whether callers should be sent here: configuration, servers and evacuations
-// are known, and the host is neither stopping nor cut off, nor refuses customers' keys.
+// are known, and the host is neither stopping nor cut off, nor outdated, nor refuses customers' keys.
 func (g *Gateway) Ready() bool {
 	c := g.inForce.Load()
-	return c != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff() && !(c.customers != nil && g.keysOutdated(c))
+	return c != nil && g.servers.HasSynced() && g.evacuationsListed() && !g.Stopping() && !g.cutOff() && g.outdated() == freshness.ReasonNone && !(c.customers != nil && g.keysOutdated())
 }
 
 // Stopping reports whether a planned stop has begun.
@@ -322,6 +325,7 @@
 	g.remoteForecasts.prune(next.hasService)
 	g.countZones()
 	g.announce()
+	g.passOnConfirmation()
 }
 
 func (g *Gateway) homesConfig() *bundle.Config {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/forward"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/quarantine"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -126,6 +127,8 @@
 		return newRefusal(result.Draining, "this host is stopping", otherHostRetryAfter)
 	case g.cutOff():
 		return newRefusal(result.CutOff, "neither the store nor a peer is heard", otherHostRetryAfter)
+	case g.outdated() != freshness.ReasonNone:
+		return newRefusal(result.NotReady, string(g.outdated()), otherHostRetryAfter)
 	case inFlight > maxRequestsInFlight:
 		return newRefusal(result.Overloaded, "too many requests in flight", notReadyRetryAfter)
 	default:
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -85,7 +85,6 @@
 // handleConfigUpdate handles the revisions that a peer has announced. It runs on the membership
 // control loop.
 func (g *Gateway) handleConfigUpdate(update member.ConfigUpdate) {
-	g.configNews.announced(g.options.Now(), update.Store.ConfigVersion, versionOf(g.inForce.Load()))
 	if version := update.Store.ConfigVersion; version > 0 {
 		g.trackers.config.Announced(g.options.Now(), version, string(update.From))
 	}
--- a/result/result.go
+++ b/result/result.go
@@ -103,7 +103,7 @@
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, ResendLater, "The queues of this class are full.", "Add backend capacity if it lasts; see the saturation page."},
 	{CallerOverShare, "caller_over_share", http.StatusTooManyRequests, ResendLater, "The caller is over its share while others wait.", "Check the caller's weight, or speak with the caller."},
 	{Draining, "draining", http.StatusServiceUnavailable, ResendElsewhere, "This entry host is stopping; use the hosts named.", "None; expected during a planned stop."},
-	{NotReady, "not_ready", http.StatusServiceUnavailable, ResendElsewhere, "This entry host has no configuration yet.", "Check that it reaches the platform or its peers."},
+	{NotReady, "not_ready", http.StatusServiceUnavailable, ResendElsewhere, "This entry host has no configuration yet, or can't tell that the one it has is still the newest.", "Check that it reaches the platform or its peers, and its log for a newer version that is not in force."},
 	{CutOff, "cut_off", http.StatusServiceUnavailable, ResendElsewhere, "This entry host hears neither the platform nor its peers.", "Check the host's network; replace the host."},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, ResendNo, "Requests like this one crashed backend servers and are refused.", "See the quarantine page; release it there if it is innocent."},
 	{NoSnapshot, "no_snapshot", http.StatusServiceUnavailable, ResendLater, "No snapshot of the index is held by replicas of every shard.", "Check the publishing of the index and its backend servers."},
