--- a/discover/follower.go
+++ b/discover/follower.go
@@ -333,33 +333,6 @@
 	}
 }
 
-// askPeers applies changes from the hint's peers and reports whether the revision
-// advanced.
-func (f *Follower) askPeers(ctx context.Context, hint Hint) bool {
-	before := f.Revision()
-	found := false // newer writes were applied
-	for _, address := range hint.Peers {
-		after := f.Revision()
-		if hint.Revision <= after {
-			if !hint.HasNewerWrites || found {
-				break
-			}
-			after = 0 // all objects: newer writes may have lower revisions
-		}
-		received, err := f.config.Relay.fetchChanges(ctx, address, f.config.Prefix, after)
-		if err != nil {
-			f.config.Logger.Warn("failed to get changes from a peer", append(f.logFields(err), observe.Revision("peers_revision", hint.Revision))...)
-			continue
-		}
-		if received.revision > f.Revision() {
-			f.applyChanges(received, address)
-			continue
-		}
-		found = f.applyNewer(received, address) || found
-	}
-	return f.Revision() > before
-}
-
 // applyNewer applies a peer's writes that are newer by WriteOrder, and reports whether
 // there were any.
 func (f *Follower) applyNewer(received changes, address string) bool {
