--- a/components_traffic.go
+++ b/components_traffic.go
@@ -17,6 +17,7 @@
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/leg"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
@@ -79,7 +80,7 @@
 		members:    members,
 		log:        log,
 		now:        now,
-		events:     make(chan func(), eventBuffer),
+		events:     controlloop.NewMailbox[func()](maxWaitingEvents),
 		drainTable: draining.NewTable(),
 		serverList: catalog.NewServerList(),
 	}
--- a/server_registry.go
+++ b/server_registry.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspan/goldcrestspan/catalog"
 	"github.com/goldcrestspan/goldcrestspan/draining"
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/place"
@@ -17,8 +18,8 @@
 	"github.com/goldcrestspan/goldcrestspan/snapshot"
 )
 
-// eventBuffer is the capacity of the control goroutine's queue, in events.
-const eventBuffer = 1024
+// maxWaitingEvents bounds the events that wait for the control goroutine.
+const maxWaitingEvents = 1 << 14
 
 // serverRegistry keeps the listed backend servers and which of them are draining.
 // The goroutine of run owns the state; others post events to it.
@@ -31,7 +32,8 @@
 	log          *zap.Logger
 	now          func() time.Time
 
-	events     chan func()
+	events     *controlloop.Mailbox[func()]
+	loop       controlloop.Meter
 	serverList *catalog.ServerList
 	servers    []metastore.ListedHost // in use, from serverList
 	drainTable *draining.Table
@@ -43,21 +45,25 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case event := <-s.events:
-			event()
+		case <-s.events.Ready():
+			for _, event := range s.events.Take() {
+				s.loop.Begin(s.now())
+				event()
+				s.loop.End()
+			}
 		}
 	}
 }
 
 // Servers implements catalog.Sink.
 func (s *serverRegistry) Servers(listed []metastore.ListedHost) {
-	s.events <- func() {
+	s.post(func() {
 		s.servers = s.serverList.Update(s.now(), listed)
 		for _, instance := range s.drainTable.ApplyHostList(s.now(), listed) {
 			s.announceDraining(instance, "host list")
 		}
 		s.publish()
-	}
+	})
 }
 
 // Snapshots implements catalog.Sink.
@@ -100,12 +106,11 @@
 	})
 }
 
-// post queues an event for the control goroutine. It drops the event if the queue
-// is full: a draining server repeats the signal with its next reply.
+// post hands an event to the control goroutine and does not wait for it: peers announce a draining
+// server only once, on the membership's control loop.
 func (s *serverRegistry) post(event func()) {
-	select {
-	case s.events <- event:
-	default:
+	if !s.events.Post(event) {
+		s.log.Error("too many events wait for the list of servers; one is dropped", zap.Int("waiting", s.events.Len()))
 	}
 }
 
