--- a/freshness/gate.go
+++ b/freshness/gate.go
@@ -1,6 +1,7 @@
 package freshness
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -15,6 +16,8 @@
 	ReasonBehind Reason = "a newer version is known and not in force here"
 	// ReasonStopped: this process did not run for so long that a newer version may be due.
 	ReasonStopped Reason = "this host stood still, and its version has not been confirmed since"
+	// ReasonHung: a control loop, which would put a newer version in force, makes no progress.
+	ReasonHung Reason = "a control loop of this host hangs"
 )
 
 // Gate decides whether a host may serve by the versions that it has in force. It may while it
@@ -73,6 +76,15 @@
 	return ReasonNone
 }
 
+// CheckLoops returns why the host must not serve, given for how long its control loops have been
+// handling their present events.
+func (g *Gate) CheckLoops(busy ...time.Duration) Reason {
+	if g.limit > 0 && slices.Max(busy) > g.tolerance() {
+		return ReasonHung
+	}
+	return ReasonNone
+}
+
 // mayHaveMissed reports whether this process has stood still, and nothing confirmed since then
 // that the versions in force were the newest within the limit. Without any confirmation it ends
 // after the tolerance: then no host that is heard has reached the store.
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -75,7 +75,10 @@
 // outdated returns why this host must not serve by what it has in force.
 func (g *Gateway) outdated() freshness.Reason {
 	now := g.options.Now()
-	return g.gate.Check(now, g.trackers.config.State(now), g.trackers.servers.State(now), g.trackers.evacuations.State(now))
+	if reason := g.gate.Check(now, g.trackers.config.State(now), g.trackers.servers.State(now), g.trackers.evacuations.State(now)); reason != freshness.ReasonNone {
+		return reason
+	}
+	return g.gate.CheckLoops(g.members.Loop().Busy, g.loop.State(now, 0).Busy)
 }
 
 const (
--- a/host.go
+++ b/host.go
@@ -21,6 +21,7 @@
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/drain"
 	"github.com/goldcrestspan/goldcrestspan/exchange"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/front"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -70,6 +71,7 @@
 	replaced chan struct{} // closed once another process runs under this host's name
 	inFlight atomic.Int64  // callers' requests
 	stop     atomic.Pointer[drain.Stop]
+	gate     *freshness.Gate
 }
 
 // New builds a host and opens its listeners; Run starts it.
@@ -84,7 +86,7 @@
 		cancel()
 		return nil, err
 	}
-	h := &Host{components: built, options: options, runCtx: runCtx, cancel: cancel, replaced: make(chan struct{})}
+	h := &Host{components: built, options: options, runCtx: runCtx, cancel: cancel, replaced: make(chan struct{}), gate: freshness.NewGate(s.Limits.CutOffAfter)}
 	h.components.Hooks.bind(h)
 	h.front = front.New(h, h.components.Metrics, front.Options{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
@@ -190,7 +192,8 @@
 func (h *Host) Config() *bundle.Config { return h.components.Rollout.Config() }
 
 // Ready implements front.Service. It returns a refusal while the host has no
-// configuration, is cut off from platform and peers, or refuses work in a stop.
+// configuration, is cut off from platform and peers, serves by an outdated configuration, or
+// refuses work in a stop.
 func (h *Host) Ready() *result.Error {
 	if h.Config() == nil {
 		return &result.Error{Code: result.NotReady, Hosts: h.otherHosts()}
@@ -202,9 +205,21 @@
 	if h.components.Member.CutOff(h.components.Now(), h.components.Rollout.LastStoreContact(), h.components.Settings.Limits.CutOffAfter) {
 		return &result.Error{Code: result.CutOff, Hosts: h.otherHosts()}
 	}
+	if reason := h.outdated(); reason != freshness.ReasonNone {
+		return &result.Error{Code: result.NotReady, Detail: string(reason), Hosts: h.otherHosts()}
+	}
 	return nil
 }
 
+// outdated returns why this host must not serve by its configuration and its list of servers.
+func (h *Host) outdated() freshness.Reason {
+	c := &h.components
+	if reason := h.gate.Check(c.Now(), c.Rollout.Freshness()); reason != freshness.ReasonNone {
+		return reason
+	}
+	return h.gate.CheckLoops(c.Rollout.Loop().Busy, c.Member.Loop().Busy, c.Servers.loop.State(c.Now(), 0).Busy)
+}
+
 // otherHosts returns caller listeners of other serving hosts.
 func (h *Host) otherHosts() []string {
 	view := h.components.Member.View()
--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
+	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/member/memberpb"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/rollout/rolloutpb"
@@ -59,6 +61,8 @@
 	ready          atomic.Pointer[bundle.Config]
 	lastStoreReply atomic.Int64 // Unix time in nanoseconds; 0: never
 	alarm          atomic.Pointer[string]
+	tracker        freshness.Tracker
+	loop           controlloop.Meter
 	// Rate limits on this host's calls to the store.
 	storeLimiter    *rate.Limiter
 	documentLimiter *rate.Limiter
@@ -152,6 +156,15 @@
 	return time.Unix(0, nanos)
 }
 
+// Freshness tells whether the active configuration is the newest that has arrived here with valid
+// signatures. A generation that a peer only announces does not count: announcements are not signed.
+func (a *Agent) Freshness() freshness.State { return a.tracker.State(a.config.Now()) }
+
+// Loop returns the state of the control loop.
+func (a *Agent) Loop() controlloop.State {
+	return a.loop.State(a.config.Now(), len(a.events)+len(a.announcements))
+}
+
 // Alarm returns the current problem that needs an operator, such as a refused
 // bundle, or "" if there is none.
 func (a *Agent) Alarm() string {
--- a/rollout/agent_test.go
+++ b/rollout/agent_test.go
@@ -116,6 +116,26 @@
 	})
 }
 
+// Guards against a host that serves on by its configuration, unseen, while its control loop hangs and
+// a newer one has arrived.
+func TestConfigurationThatWaitsForAHangingLoopIsKnown(t *testing.T) {
+	withRunningFleet(t, 7, 3, func(is *is.I, f *fleet) {
+		hung := f.hosts[6]
+		hold := make(chan struct{})
+		hung.hold.Store(&hold)
+		f.accept(testDocuments(19), "second")
+		time.Sleep(time.Second)
+		third := f.accept(testDocuments(18), "third")
+		time.Sleep(3 * time.Second)
+		is.Equal(f.countActive(third), 6)
+		is.True(hung.agent.Loop().Busy > 3*time.Second)
+		is.Equal(f.hosts[5].agent.Freshness().Newest, uint64(3))
+		close(hold)
+		f.waitActive(4*time.Second, third, 7)
+		is.Equal(hung.agent.Freshness().Behind(time.Now()), time.Duration(0))
+	})
+}
+
 // Hosts that start with neither the store nor a configured peer must not serve,
 // and must become ready once the store answers.
 func TestStartWithoutStoreAndPeers(t *testing.T) {
--- a/rollout/control.go
+++ b/rollout/control.go
@@ -97,11 +97,14 @@
 		case <-ctx.Done():
 			return
 		case e := <-a.events:
+			a.loop.Begin(a.config.Now())
 			e.apply(a, t)
 		case ann := <-a.announcements:
+			a.loop.Begin(a.config.Now())
 			a.handleAnnouncement(t, ann, nil)
 		}
 		a.publishWhenReady()
+		a.loop.End()
 	}
 }
 
@@ -176,7 +179,11 @@
 	a.pull.partial = nil
 	t.run(func(ctx context.Context) {
 		if pause(ctx, after) == nil {
-			a.post(ctx, p.run(ctx))
+			pulled := p.run(ctx)
+			if c := pulled.candidate; c != nil {
+				a.tracker.Arrived(a.config.Now(), c.ref.Generation, p.source())
+			}
+			a.post(ctx, pulled)
 		}
 	})
 }
@@ -230,6 +237,7 @@
 		return
 	}
 	a.alarm.Store(nil)
+	a.tracker.Applied(a.config.Now(), c.ref.Generation)
 	before := a.snapshot.Load()
 	next := &snapshot{
 		ref: c.ref, signed: c.raw, parts: c.manifest.Parts, contents: c.contents, config: c.config,
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -94,6 +94,7 @@
 	// running is the agent while the host is up; nil while it is stopped.
 	running atomic.Pointer[Agent]
 
+	hold    atomic.Pointer[chan struct{}] // OnApplied waits until it is closed; nil: not at all
 	mu      sync.Mutex
 	applied []uint64 // generations in the order of activation
 }
@@ -135,6 +136,9 @@
 		IsWatcher: h.watcher.Load, PeerAddresses: h.peers,
 		Rand: rand.New(rand.NewPCG(h.fleet.random.Uint64(), 0)),
 		OnApplied: func(c *bundle.Config) {
+			if hold := h.hold.Load(); hold != nil {
+				<-*hold
+			}
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.applied = append(h.applied, c.Generation)
--- a/rollout/pull.go
+++ b/rollout/pull.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/bundle"
+	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/rollout/rolloutpb"
 )
 
@@ -43,6 +44,14 @@
 	return p
 }
 
+// source is where the configuration is pulled from: the store or a peer's address.
+func (p *puller) source() string {
+	if p.targetHead != nil {
+		return freshness.Store
+	}
+	return p.address
+}
+
 func (p *puller) run(ctx context.Context) pullResult {
 	signed, err := p.fetchManifest(ctx)
 	if err != nil {
