--- a/eligible/eligible.go
+++ b/eligible/eligible.go
@@ -26,11 +26,13 @@
 	KeyRemoved
 	// KeysOutdated: the key may have been removed without this host knowing.
 	KeysOutdated
+	// ListsOutdated: newer lists of servers or evacuated zones have arrived and are not in force.
+	ListsOutdated
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold", "request_held_back", "key_removed", "keys_outdated"}[r]
+	return [...]string{"allowed", "evacuations_not_known", "zone_evacuated", "other_region", "cold", "request_held_back", "key_removed", "keys_outdated", "lists_outdated"}[r]
 }
 
 // Rules are the rules for all servers at one moment. They are immutable.
--- a/freshness/gate.go
+++ b/freshness/gate.go
@@ -62,20 +62,20 @@
 	if g.limit == 0 {
 		return ReasonNone
 	}
-	if config.Behind(now) > g.tolerance() {
+	if g.Late(now, config) || g.Late(now, others...) {
 		return ReasonBehind
 	}
-	for _, other := range others {
-		if other.Behind(now) > g.tolerance() {
-			return ReasonBehind
-		}
-	}
 	if g.mayHaveMissed(now, config) {
 		return ReasonStopped
 	}
 	return ReasonNone
 }
 
+// Late reports whether a newer version than one of those in force has been known for too long.
+func (g *Gate) Late(now time.Time, states ...State) bool {
+	return g.limit > 0 && slices.ContainsFunc(states, func(s State) bool { return s.Behind(now) > g.tolerance() })
+}
+
 // CheckLoops returns why the host must not serve, given for how long its control loops have been
 // handling their present events.
 func (g *Gate) CheckLoops(busy ...time.Duration) Reason {
--- a/gateway/eligibility.go
+++ b/gateway/eligibility.go
@@ -49,6 +49,9 @@
 	if server != eligible.Allowed {
 		return server
 	}
+	if g.listsOutdated.Load() {
+		return eligible.ListsOutdated
+	}
 	if !g.crashDetector.mayBeSent(call.Forward, call.Body) {
 		return eligible.RequestHeldBack
 	}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -100,28 +100,34 @@
 		case <-ctx.Done():
 			return nil
 		}
-		now := g.options.Now()
-		g.gate.Tick(now)
-		g.trackers.each(func(kind string, tracker *freshness.Tracker) {
-			state := tracker.State(now)
-			if state.Behind(now) < lateAfter || now.Sub(loggedAt[kind]) < lateLogInterval {
-				return
-			}
-			loggedAt[kind] = now
-			g.logLate(now, kind, state)
-		})
+		g.checkFreshness(g.options.Now(), loggedAt)
 	}
 }
 
+// checkFreshness also decides whether this host may send requests of other hosts, which ask it
+// without asking whether it is ready.
+func (g *Gateway) checkFreshness(now time.Time, loggedAt map[string]time.Time) {
+	g.gate.Tick(now)
+	g.listsOutdated.Store(g.gate.Late(now, g.trackers.servers.State(now), g.trackers.evacuations.State(now)))
+	g.trackers.each(func(kind string, tracker *freshness.Tracker) {
+		state := tracker.State(now)
+		if state.Behind(now) < lateAfter || now.Sub(loggedAt[kind]) < lateLogInterval {
+			return
+		}
+		loggedAt[kind] = now
+		g.logLate(now, kind, state)
+	})
+}
+
 func (g *Gateway) logLate(now time.Time, kind string, s freshness.State) {
-	member, gateway := g.members.Loop(), g.loop.State(now, len(g.events))
+	members, control := g.members.Loop(), g.loop.State(now, len(g.events))
 	g.log.Warn("a newer version is not in force", zap.String("kind", kind),
 		zap.Uint64("in_force", s.InForce), zap.Uint64("newest", s.Newest), zap.String("newest_by", s.NewestBy),
 		zap.Duration("known_for", s.Behind(now)), zap.String("obstacle", string(s.Obstacle)),
 		zap.String("confirmed_by", s.Confirmed.By), sinceField("confirmed_ago", now, s.Confirmed.At),
 		sinceField("store_ago", now, g.configs.LastContact()), sinceField("peers_ago", now, g.members.LastPeerContact()),
-		zap.Int("member_queue", member.Queued), zap.Duration("member_busy", member.Busy),
-		zap.Int("gateway_queue", gateway.Queued), zap.Duration("gateway_busy", gateway.Busy))
+		zap.Int("member_queue", members.Queued), zap.Duration("member_busy", members.Busy),
+		zap.Int("gateway_queue", control.Queued), zap.Duration("gateway_busy", control.Busy))
 }
 
 // sinceField is a log field of the time that has passed since an event; without one if it never
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,7 @@
 	inForce         atomic.Pointer[configuration]
 	trackers        trackers
 	gate            *freshness.Gate
+	listsOutdated   atomic.Bool                    // of servers and evacuations; see checkFreshness
 	arrivedConfig   uint64                         // version of the configuration that the follower has; used on its goroutine
 	zoneServers     atomic.Pointer[map[string]int] // backend servers by zone
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
