--- a/gateway/components.go
+++ b/gateway/components.go
@@ -109,10 +109,10 @@
 		return err
 	}
 	g.configs = g.newFollower(storeMetrics, g.options.ConfigKey, nil, g.applyConfigs, g.confirmConfig)
-	g.servers = g.newFollower(storeMetrics, g.options.ServersPrefix, g.batchInterval, g.tracked(&g.trackers.servers, g.applyServers), confirmRevisions(&g.trackers.servers))
+	g.servers = g.newFollower(storeMetrics, g.options.ServersPrefix, g.batchInterval, g.tracked(&g.trackers.servers, &g.servers, g.applyServers), confirmRevisions(&g.trackers.servers))
 	followers := []*discover.Follower{g.configs, g.servers}
 	if g.options.EvacuationsPrefix != "" {
-		g.evacuationList = g.newFollower(storeMetrics, g.options.EvacuationsPrefix, nil, g.tracked(&g.trackers.evacuations, g.applyEvacuations), confirmRevisions(&g.trackers.evacuations))
+		g.evacuationList = g.newFollower(storeMetrics, g.options.EvacuationsPrefix, nil, g.tracked(&g.trackers.evacuations, &g.evacuationList, g.applyEvacuations), confirmRevisions(&g.trackers.evacuations))
 		followers = append(followers, g.evacuationList)
 	} else {
 		g.setEvacuations(nil, 0)
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -96,25 +96,25 @@
 // enough for its keys to be complete.
 func (g *Gateway) configConfirmed(c *configuration) bool {
 	now := g.options.Now()
-	return confirmed(now, g.trackers.config.State(now), c.version(), g.configContact(), g.options.Customers.ConfigTimeout)
+	return confirmedWithin(now, g.trackers.config.State(now), c.version(), g.configContact(), g.options.Customers.ConfigTimeout)
 }
 
 // keysOutdated reports whether keys must be refused because removals may not be known here.
 func (g *Gateway) keysOutdated() bool {
 	o, now := &g.options.Customers, g.options.Now()
-	return o.StrictRevocation && !heard(now, g.trackers.config.State(now), g.configContact(), o.RevocationTimeout)
+	return o.StrictRevocation && !heardWithin(now, g.trackers.config.State(now), g.configContact(), o.RevocationTimeout)
 }
 
-// confirmed reports whether no version above the given one is known, and the store or a peer was
+// confirmedWithin reports whether no version above the given one is known, and the store or a peer was
 // heard within the timeout. Each answer of a peer comes with the peer's version, which is recorded
 // before the answer counts as contact.
-func confirmed(now time.Time, s freshness.State, version uint64, contact time.Time, timeout time.Duration) bool {
+func confirmedWithin(now time.Time, s freshness.State, version uint64, contact time.Time, timeout time.Duration) bool {
 	return s.Newest <= version && now.Sub(contact) <= timeout
 }
 
-// heard reports whether this host knew within the timeout that nothing newer than what it has in
+// heardWithin reports whether this host knew within the timeout that nothing newer than what it has in
 // force existed.
-func heard(now time.Time, s freshness.State, contact time.Time, timeout time.Duration) bool {
+func heardWithin(now time.Time, s freshness.State, contact time.Time, timeout time.Duration) bool {
 	return now.Sub(s.HeardAt(contact)) <= timeout
 }
 
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/discover"
 	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 	"github.com/goldcrestspan/goldcrestspan/member"
@@ -56,10 +57,10 @@
 	return func(at time.Time) { tracker.Confirmed(tracker.State(at).InForce, at, freshness.Store) }
 }
 
-// tracked wraps the application of a list, so that one that never ends is seen.
-func (g *Gateway) tracked(tracker *freshness.Tracker, apply func([]metastore.Object, metastore.Revision)) func([]metastore.Object, metastore.Revision) {
+// tracked wraps the application of a follower's list, so that one that never ends is seen.
+func (g *Gateway) tracked(tracker *freshness.Tracker, follower **discover.Follower, apply func([]metastore.Object, metastore.Revision)) func([]metastore.Object, metastore.Revision) {
 	return func(objects []metastore.Object, revision metastore.Revision) {
-		tracker.Arrived(g.options.Now(), uint64(revision), freshness.Store)
+		tracker.Arrived(g.options.Now(), uint64(revision), (*follower).Source())
 		apply(objects, revision)
 		tracker.Applied(g.options.Now(), uint64(revision))
 	}
@@ -82,14 +83,14 @@
 }
 
 const (
-	// lateAfter is when such a version is logged, and again at each further lateLogInterval.
+	// lateAfter is for how long a version is known, and not in force, before it is logged; it is
+	// logged again every lateLogInterval.
 	lateAfter       = time.Second
 	lateLogInterval = 2 * time.Second
 )
 
 // watchFreshness shows the gate that this process runs, and logs versions that are not in force in
-// time. It waits for none of the goroutines
-// that it reports on.
+// time. It waits for none of the goroutines that it reports on.
 func (g *Gateway) watchFreshness(ctx context.Context) error {
 	ticker := time.NewTicker(g.gate.TickInterval())
 	defer ticker.Stop()
@@ -104,8 +105,8 @@
 	}
 }
 
-// checkFreshness also decides whether this host may send requests of other hosts, which ask it
-// without asking whether it is ready.
+// checkFreshness is one round of watchFreshness. It also decides whether this host may send requests
+// for other hosts, which don't ask first whether it is ready.
 func (g *Gateway) checkFreshness(now time.Time, loggedAt map[string]time.Time) {
 	g.gate.Tick(now)
 	g.listsOutdated.Store(g.gate.Late(now, g.trackers.servers.State(now), g.trackers.evacuations.State(now)))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -115,8 +115,8 @@
 	return func() { g.bodyBytes.Add(-bytes) }, nil
 }
 
-// checkAdmission refuses requests while the host starts, stops, is cut off or has too many in
-// flight. A refused request has not run, so another host may serve it.
+// checkAdmission refuses requests while the host starts, stops, is cut off or outdated, or has too
+// many in flight. A refused request has not run, so another host may serve it.
 func (g *Gateway) checkAdmission(c *configuration, inFlight int64) *Answer {
 	switch {
 	case c == nil || !g.servers.HasSynced():
@@ -127,13 +127,13 @@
 		return newRefusal(result.Draining, "this host is stopping", otherHostRetryAfter)
 	case g.cutOff():
 		return newRefusal(result.CutOff, "neither the store nor a peer is heard", otherHostRetryAfter)
-	case g.outdated() != freshness.ReasonNone:
-		return newRefusal(result.NotReady, string(g.outdated()), otherHostRetryAfter)
 	case inFlight > maxRequestsInFlight:
 		return newRefusal(result.Overloaded, "too many requests in flight", notReadyRetryAfter)
-	default:
-		return nil
 	}
+	if reason := g.outdated(); reason != freshness.ReasonNone {
+		return newRefusal(result.NotReady, string(reason), otherHostRetryAfter)
+	}
+	return nil
 }
 
 func (g *Gateway) run(ctx context.Context, c *configuration, r *route.Route, service string, q Query, who *customer.Customer) *Answer {
