--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -46,12 +46,12 @@
 	first := g.evacuations.current == nil
 	g.evacuations.current = next
 	g.evacuations.zones.Set(float64(len(zones)))
-	for _, change := range changes {
-		g.log.Info("evacuation of a zone", zap.String("zone", change.Zone), zap.Bool("evacuated", change.Evacuated), observe.Revision("revision", revision))
-	}
 	if first || len(changes) > 0 {
 		g.publishServers()
 	}
+	for _, change := range changes { // operators rely on these lines once the change is in force
+		g.log.Info("evacuation of a zone", zap.String("zone", change.Zone), zap.Bool("evacuated", change.Evacuated), observe.Revision("revision", revision))
+	}
 }
 
 // evacuationsListed reports whether this host knows which zones are evacuated. Until then it
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -322,9 +322,6 @@
 		return
 	}
 	g.inForce.Store(next)
-	g.trackers.config.Applied(g.options.Now(), config.Version)
-	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
-		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 	g.homes.Refresh()
 	g.searches.controller.Reconfigure(next.compiled)
 	g.crashDetector.registry.Reconfigure(next.compiled)
@@ -333,6 +330,9 @@
 	g.timeouts.prune(next.targets)
 	g.remoteForecasts.prune(next.hasService)
 	g.countZones()
+	g.trackers.config.Applied(g.options.Now(), config.Version)
+	g.log.Info("configuration in force", zap.Uint64("version", config.Version), observe.Revision("revision", object.Revision),
+		zap.String("source", source), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)), zap.Int("customers", len(config.Customers)))
 	g.announce()
 	g.passOnConfirmation()
 }
