--- a/member/agent.go
+++ b/member/agent.go
@@ -124,7 +124,7 @@
 
 // Loop returns the state of the control loop.
 func (a *Agent) Loop() controlloop.State {
-	return a.loop.State(a.config.Now(), len(a.events)+a.announcements.others.Len())
+	return a.loop.State(a.config.Now(), len(a.events)+a.announcements.events.Len())
 }
 
 // Joined reports whether a peer has sent its complete view.
@@ -221,7 +221,7 @@
 		case event := <-a.events:
 			a.loop.Begin(a.config.Now())
 			event(a.config.Now(), a.membership)
-		case <-a.announcements.others.Ready():
+		case <-a.announcements.events.Ready():
 			a.loop.Begin(a.config.Now())
 			a.announcements.apply(a.config.Now(), a.membership)
 		case <-timer.C:
--- a/member/announce.go
+++ b/member/announce.go
@@ -8,21 +8,20 @@
 	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
 )
 
-// maxWaitingAnnouncements bounds the announcements that wait for the control loop, without those
-// of which only the newest counts.
+// maxWaitingAnnouncements bounds the announcements that wait for the control loop, beside
+// announcedState.
 const maxWaitingAnnouncements = 1 << 14
 
-// announcements are what this host tells the control loop and the loop has not taken yet. Other
-// control loops announce, and so do callbacks of this one, so that nothing here ever waits for
-// the loop.
+// announcements holds what this host has announced and the control loop has not taken yet. Callers
+// never wait for the loop, since other control loops announce, and so do this one's callbacks.
 type announcements struct {
-	others *controlloop.Mailbox[func(time.Time, *Membership)]
+	events *controlloop.Mailbox[func(time.Time, *Membership)]
 
 	mu    sync.Mutex
 	state announcedState
 }
 
-// announcedState is of what only the newest counts.
+// announcedState holds the announcements of which only the newest counts.
 type announcedState struct {
 	generation   uint64
 	manifestHash []byte
@@ -32,7 +31,7 @@
 }
 
 func newAnnouncements() *announcements {
-	return &announcements{others: controlloop.NewMailbox[func(time.Time, *Membership)](maxWaitingAnnouncements)}
+	return &announcements{events: controlloop.NewMailbox[func(time.Time, *Membership)](maxWaitingAnnouncements)}
 }
 
 // set changes the state that waits for the control loop. Announcements of several goroutines may
@@ -41,7 +40,7 @@
 	a.mu.Lock()
 	change(&a.state)
 	a.mu.Unlock()
-	a.others.Wake()
+	a.events.Wake()
 }
 
 // apply hands all that waits to the membership.
@@ -58,7 +57,7 @@
 	if s.load != nil {
 		m.SetLoad(*s.load)
 	}
-	for _, announce := range a.others.Take() {
+	for _, announce := range a.events.Take() {
 		announce(now, m)
 	}
 }
@@ -114,7 +113,7 @@
 // announce hands an announcement to the control loop. It drops it only if the loop has not run
 // for very long.
 func (a *Agent) announce(announcement func(time.Time, *Membership)) {
-	if !a.announcements.others.Post(announcement) {
+	if !a.announcements.events.Post(announcement) {
 		a.metrics.announcementsDropped.Inc()
 	}
 }
