--- a/discover/start_test.go
+++ b/discover/start_test.go
@@ -90,6 +90,7 @@
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		is.Equal(changes, 1)
 		is.True(contactOnChange.IsZero())
 		is.True(time.Since(f.LastContact()) <= time.Second)
