--- a/discover/follower.go
+++ b/discover/follower.go
@@ -42,8 +42,8 @@
 	IsWatcher func() bool
 	// WatcherCount returns how many hosts watch the store; nil: this one only.
 	WatcherCount func() int
-	// WatchLimit bounds watches, whose ends tell that the store still answers; nil or 0: no further
-	// bound. A watch that outlasts a new limit is ended, and a short one follows.
+	// WatchLimit bounds the next watch, whose end tells that the store still answers; nil or 0:
+	// no further bound.
 	WatchLimit func() time.Duration
 	// Joined reports whether a peer has answered this host, and so sent its
 	// revisions; nil: unknown.
@@ -82,7 +82,6 @@
 	peerState   atomic.Pointer[peerState]
 	hints       chan Hint
 	listReason  listReason // of the next list
-	overdue     bool       // the last watch outlasted the limit
 	source      string     // of the last change, on Run's goroutine
 }
 
@@ -287,7 +286,7 @@
 		results <- watchResult{objects, revision, err}
 	}()
 	for {
-		timer := time.NewTimer(min(f.untilTick(), f.limitCheckInterval()))
+		timer := time.NewTimer(f.untilTick())
 		select {
 		case w := <-results:
 			timer.Stop()
@@ -304,10 +303,6 @@
 			return nil
 		case <-timer.C:
 			f.tick()
-			if limit := f.watchLimit(); limit > 0 && f.config.Now().Sub(sentAt) > limit {
-				f.overdue = true
-				return nil
-			}
 		case hint := <-f.hints:
 			timer.Stop()
 			if f.askPeers(ctx, hint) {
@@ -375,35 +370,14 @@
 
 func (f *Follower) nextWatchTimeout() time.Duration {
 	timeout := watchTimeout(f.watcherCount())
-	if limit := f.watchLimit(); limit > 0 {
-		timeout = min(timeout, limit)
-	}
-	if f.overdue {
-		f.overdue = false
-		timeout = min(timeout, overdueWatchTimeout)
+	if f.config.WatchLimit != nil {
+		if limit := f.config.WatchLimit(); limit > 0 {
+			timeout = min(timeout, limit)
+		}
 	}
 	return timeout
 }
 
-// overdueWatchTimeout is the timeout of the watch that follows one that outlasted its limit: the
-// store's answer is due at once.
-const overdueWatchTimeout = 300 * time.Millisecond
-
-func (f *Follower) watchLimit() time.Duration {
-	if f.config.WatchLimit == nil {
-		return 0
-	}
-	return f.config.WatchLimit()
-}
-
-// limitCheckInterval is the interval at which a watch is checked against the limit.
-func (f *Follower) limitCheckInterval() time.Duration {
-	if f.config.WatchLimit == nil {
-		return idleTickInterval
-	}
-	return roleCheckInterval
-}
-
 func (f *Follower) watcherCount() int {
 	if f.config.WatcherCount == nil {
 		return 1
--- a/gateway/customers.go
+++ b/gateway/customers.go
@@ -128,6 +128,21 @@
 	return at
 }
 
+// configWatchLimit bounds watches of the configuration where only the store can confirm it: a
+// watch without a change must end before the confirmation is too old. 0: no bound.
+func (g *Gateway) configWatchLimit() time.Duration {
+	c := g.inForce.Load()
+	if c == nil || c.customers == nil || g.options.Now().Sub(g.members.LastPeerContact()) <= maxPeerSilence {
+		return 0
+	}
+	o := &g.options.Customers
+	limit := o.ConfigTimeout
+	if o.StrictRevocation {
+		limit = min(limit, o.RevocationTimeout)
+	}
+	return limit / 2
+}
+
 // checkKey decides whether a request may still be sent: its customer's key may have been removed
 // since it was identified, here or at another host.
 func (g *Gateway) checkKey(f *forward.Request) eligible.Reason {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,9 +92,10 @@
 	AdviceTTL = time.Second
 	// adviceTTLFactor is how many times longer some callers cache advice.
 	adviceTTLFactor = 3
-	// defaultCutOffTimeout applies if the settings don't say how soon a configuration must be in
-	// force.
-	defaultCutOffTimeout = 5 * time.Second
+	// cutOffAfter is how long a host that reaches neither the store nor a peer keeps serving:
+	// longer than two store watches of 4 s, so that a quiet or slow store does not count as
+	// lost.
+	cutOffAfter = 9 * time.Second
 )
 
 // Gateway is one entry host.
@@ -229,16 +230,7 @@
 	if at := g.servers.LastContact(); at.After(lastContact) {
 		lastContact = at
 	}
-	return g.members.CutOff(g.options.Now(), lastContact, g.cutOffTimeout())
-}
-
-// cutOffTimeout is how long a host that hears neither the store nor a peer keeps serving: as long as
-// a configuration that it does not hear of may take to be in force.
-func (g *Gateway) cutOffTimeout() time.Duration {
-	if timeout := g.options.Customers.ConfigTimeout; timeout > 0 {
-		return timeout
-	}
-	return defaultCutOffTimeout
+	return g.members.CutOff(g.options.Now(), lastContact, cutOffAfter)
 }
 
 // Run serves peers and follows the store until ctx ends, then performs a planned stop: it
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -68,21 +68,6 @@
 // store itself; it covers two lost probes.
 const maxPeerSilence = 1200 * time.Millisecond
 
-// configWatchLimit bounds watches of the configuration where only the store can confirm it: a
-// watch without a change must end before this host counts as cut off, or its keys as outdated.
-// 0: no bound.
-func (g *Gateway) configWatchLimit() time.Duration {
-	view := g.members.View()
-	if !view.Minority && g.options.Now().Sub(g.members.LastPeerContact()) <= maxPeerSilence {
-		return 0
-	}
-	limit := g.cutOffTimeout()
-	if c := g.inForce.Load(); c != nil && c.customers != nil && g.options.Customers.StrictRevocation {
-		limit = min(limit, g.options.Customers.RevocationTimeout)
-	}
-	return limit / 2
-}
-
 // announce tells the peers the store revisions that this host has. Every message between
 // hosts carries them, so that a host whose watch silently broke fetches what it missed.
 func (g *Gateway) announce() {
