--- a/review/driver/backend.go
+++ b/review/driver/backend.go
@@ -25,13 +25,16 @@
 	free                 chan struct{} // holds a token for each free slot
 	mu                   sync.Mutex
 	waiting              int
-	runs                 map[string]int // by Attempt-Id
+	runs                 map[string][]workTime // by Attempt-Id
 	refused, extraAnswer int
 	// extraRate is the share of answers that are sent a second time, late: at the point where
 	// the next answer on the connection is expected.
 	extraRate float64
 }
 
+// workTime is when a run began and ended; the end is zero while it goes on.
+type workTime struct{ began, ended time.Time }
+
 // startBackend starts a server and registers it in the store.
 func (f *fleet) startBackend(id, service, zone string, slots, queue int, work func() time.Duration) (*backend, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,7 +43,7 @@
 	}
 	b := &backend{
 		fleet: f, id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, listener: listener,
-		free: make(chan struct{}, slots), runs: make(map[string]int),
+		free: make(chan struct{}, slots), runs: make(map[string][]workTime),
 	}
 	for range slots {
 		b.free <- struct{}{}
@@ -139,10 +142,15 @@
 		return encodeAnswer(http.StatusServiceUnavailable, nil, "Attempt-Id: "+attempt, "Not-Executed: 1")
 	}
 	b.mu.Lock()
-	b.runs[attempt]++
+	number := len(b.runs[attempt])
+	b.runs[attempt] = append(b.runs[attempt], workTime{began: time.Now()})
 	b.mu.Unlock()
 	b.fleet.record.printf("%s runs at %s", attempt, b.id)
 	time.Sleep(b.work())
+	b.mu.Lock()
+	b.runs[attempt][number].ended = time.Now()
+	b.mu.Unlock()
+	b.fleet.record.printf("%s has run at %s", attempt, b.id)
 	b.free <- struct{}{}
 	return encodeAnswer(http.StatusOK, []byte("done "+attempt), "Attempt-Id: "+attempt, "Server-Stamp: "+b.stamp(attempt))
 }
@@ -183,4 +191,9 @@
 	return append([]byte(strings.Join(lines, "\r\n")), body...)
 }
 
-func (b *backend) close() { _ = b.listener.Close() }
+// workTimes returns the runs of an attempt.
+func (b *backend) workTimes(attempt string) []workTime {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]workTime(nil), b.runs[attempt]...)
+}
--- a/review/driver/extra_refusal.go
+++ b/review/driver/extra_refusal.go
@@ -133,8 +133,8 @@
 	runs := make(map[string]int)
 	for _, b := range servers {
 		b.mu.Lock()
-		for attempt, n := range b.runs {
-			runs[attempt] += n
+		for attempt, times := range b.runs {
+			runs[attempt] += len(times)
 		}
 		f.record.printf("%s: %d runs, %d refusals, %d answers sent twice", b.id, len(b.runs), b.refused, b.extraAnswer)
 		b.mu.Unlock()
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -33,6 +33,7 @@
 	hosts    []*host
 	breaches int
 	closed   bool
+	stops    map[string][]time.Time // SIGTERMs by the host's callers' address
 }
 
 // host is the process of one entry host.
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{record: r, store: store, dir: dir}, nil
+	return &fleet{record: r, store: store, dir: dir, stops: make(map[string][]time.Time)}, nil
 }
 
 // breach records that the rule was broken.
@@ -167,7 +168,7 @@
 	for i, zone := range zones {
 		h := &host{
 			name: fmt.Sprintf("edge-%s-1", zone), zone: zone, front: address(i, 0), directory: address(i, 1),
-			ready: address(i, 2), control: address(i, 3), ended: make(chan struct{}),
+			ready: address(i, 2), control: address(i, 3),
 		}
 		h.settings = filepath.Join(f.dir, h.name+".conf")
 		internal := first + i*portsPerHost + 4
@@ -178,6 +179,7 @@
 		if err := f.startHost(h); err != nil {
 			return err
 		}
+		f.hosts = append(f.hosts, h)
 	}
 	if !waitUntil(15*time.Second, f.allReady) {
 		return fmt.Errorf("the hosts are not ready after 15 s")
@@ -185,28 +187,31 @@
 	return nil
 }
 
-// startHost starts the process with the command of deploy/system.toml.
+// startHost starts the process with the command of deploy/system.toml, or starts it again.
 func (f *fleet) startHost(h *host) error {
-	log, err := os.Create(filepath.Join(f.dir, h.name+".log"))
+	log, err := os.OpenFile(filepath.Join(f.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	h.process = exec.Command(binary, "platform")
-	h.process.Env = []string{"GOLDCRESTSPAN_NODE_FILE=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + f.dir}
-	h.process.Stdout, h.process.Stderr = log, log
-	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := h.process.Start(); err != nil {
+	process, ended := exec.Command(binary, "platform"), make(chan struct{})
+	process.Env = []string{"GOLDCRESTSPAN_NODE_FILE=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + f.dir}
+	process.Stdout, process.Stderr = log, log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return fmt.Errorf("the case has ended")
+	}
+	if err := process.Start(); err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.hosts = append(f.hosts, h)
-	f.mu.Unlock()
+	h.process, h.ended = process, ended
 	f.record.printf("host %s started, callers at %s", h.name, h.front)
 	go func() {
-		err := h.process.Wait()
+		err := process.Wait()
 		f.record.printf("host %s ended: %v", h.name, describeEnd(err))
-		close(h.ended)
+		close(ended)
 	}()
 	return nil
 }
@@ -221,6 +226,11 @@
 // signal sends a signal to the process of the host.
 func (f *fleet) signal(h *host, s syscall.Signal) {
 	f.record.printf("host %s gets %v (signal %d)", h.name, s, int(s))
+	if s == syscall.SIGTERM {
+		f.mu.Lock()
+		f.stops[h.front] = append(f.stops[h.front], time.Now())
+		f.mu.Unlock()
+	}
 	_ = h.process.Process.Signal(s) // the process may have ended
 }
 
@@ -265,7 +275,9 @@
 		return
 	}
 	for _, h := range hosts {
-		_ = h.process.Process.Signal(syscall.SIGCONT)
+		if h.process == nil {
+			continue
+		}
 		_ = h.process.Process.Kill() // may have ended
 		<-h.ended
 	}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -23,7 +23,9 @@
 type scenario func(f *fleet, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"extra-refusal": extraRefusal,
+	"extra-refusal":      extraRefusal,
+	"settings-in-a-stop": settingsInAStop,
+	"late-in-a-stop":     lateInAStop,
 }
 
 func main() { os.Exit(run()) }
