--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -25,9 +25,11 @@
 
 // fleet is a small deployment: the platform's store, entry hosts and backend servers.
 type fleet struct {
-	record   *record
-	store    *standin.Store
-	dir      string
+	record *record
+	store  *standin.Store
+	dir    string
+	// cpuShare is CpuShare of the settings.
+	cpuShare float64
 	mu       sync.Mutex
 	hosts    []*host
 	breaches int
