--- a/review/driver/removed_route.go
+++ b/review/driver/removed_route.go
@@ -9,12 +9,11 @@
 )
 
 const (
-	shards         = 20
-	searchers      = 45
-	searchCores    = 2.0
-	searchPause    = 5 * time.Millisecond // mean
-	routeTimeout   = time.Second          // TimeoutMs of the routes
-	searchTimeout  = 3 * time.Second      // Deadline-Ms of the callers
+	lookupClients  = 48
+	lookupCores    = 2.0
+	lookupPause    = 500 * time.Microsecond // mean
+	routeTimeout   = time.Second            // TimeoutMs of the routes
+	lookupTimeout  = 3 * time.Second        // Deadline-Ms of the callers
 	timeoutSlack   = 500 * time.Millisecond
 	changeGap      = 330 * time.Millisecond
 	changesFor     = 4 * time.Second
@@ -26,25 +25,25 @@
 // removedRoute checks that requests get an answer at the latest half a second after their
 // route's timeout while the operator adds and removes another route.
 func removedRoute(f *fleet, trouble bool) error {
-	servers, err := startShards(f)
+	servers, err := startDesk(f)
 	if err != nil {
 		return err
 	}
-	f.cpuShare = searchCores
-	configureSearch(f, 3, true)
+	f.cpuShare = lookupCores
+	configureLookups(f, 3, true)
 	if err := f.startHosts(stopZones...); err != nil {
 		return err
 	}
 	time.Sleep(stableWindow)
 	stop := make(chan struct{})
-	outcomes := runSearches(f, stop)
+	outcomes := runLookups(f, stop)
 	version := 3
 	for range configStorms {
 		time.Sleep(changesPause)
 		for end := time.Now().Add(changesFor); time.Now().Before(end); time.Sleep(changeGap) {
 			if trouble {
 				version += 2
-				configureSearch(f, version, version%4 == 3)
+				configureLookups(f, version, version%4 == 3)
 			}
 		}
 		recordRuns(f, servers)
@@ -58,73 +57,55 @@
 	return nil
 }
 
-// startShards starts two servers of each shard and of another service.
-func startShards(f *fleet) ([]*backend, error) {
+// startDesk starts the servers of one service, one in each zone.
+func startDesk(f *fleet) ([]*backend, error) {
+	work := func() time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(time.Millisecond)) }
 	var servers []*backend
-	work := func() time.Duration { return time.Duration((1 + 4*rand.Float64()) * float64(time.Millisecond)) }
-	for i := range shards + 1 {
-		service := fmt.Sprintf("shard%d", i)
-		if i == shards {
-			service = "archive"
-		}
-		for k, zone := range stopZones[:2] {
-			b, err := f.startBackend(fmt.Sprintf("i-%s-%d", service, k), service, zone, 4, 12, work)
-			if err != nil {
-				return nil, err
-			}
-			b.quiet = true
-			servers = append(servers, b)
+	for i, zone := range stopZones {
+		b, err := f.startBackend(fmt.Sprintf("i-desk%d", i), "desk", zone, 16, 32, work)
+		if err != nil {
+			return nil, err
 		}
+		b.quiet = true
+		servers = append(servers, b)
 	}
 	return servers, nil
 }
 
-// recordRuns records how many parts of searches each server has run.
+// recordRuns records how many requests each server has run.
 func recordRuns(f *fleet, servers []*backend) {
 	total := 0
 	for _, b := range servers {
 		b.mu.Lock()
-		f.record.printf("%s has run %d parts and refused %d", b.id, b.counted, b.refused)
+		f.record.printf("%s has run %d requests and refused %d", b.id, b.counted, b.refused)
 		total += b.counted
 		b.mu.Unlock()
 	}
-	f.record.printf("all servers have run %d parts", total)
+	f.record.printf("all servers have run %d requests", total)
 }
 
-// configureSearch writes a version of the configuration, with the campaign route or without.
-func configureSearch(f *fleet, version int, withCampaign bool) {
-	route := func(name string, priority, target int, more map[string]any) map[string]any {
-		r := map[string]any{
+// configureLookups writes a version of the configuration, with the campaign route or without.
+func configureLookups(f *fleet, version int, withCampaign bool) {
+	route := func(name string, priority, target int) map[string]any {
+		return map[string]any{
 			"Name": name, "Hostname": hostName, "PathPrefix": "/" + name + "/", "RouteType": "idempotent", "TimeoutMs": routeTimeout.Milliseconds(),
-			"TargetLatencyMs": target, "Priority": priority, "MaxAttempts": 2,
+			"TargetLatencyMs": target, "Priority": priority, "MaxAttempts": 2, "Service": "desk",
 		}
-		for key, value := range more {
-			r[key] = value
-		}
-		return r
-	}
-	services := []map[string]any{{"Name": "archive", "MaxConnections": 96, "HealthCheckPath": "/health"}}
-	var names []string
-	for i := range shards {
-		names = append(names, fmt.Sprintf("shard%d", i))
-		services = append(services, map[string]any{"Name": names[i], "MaxConnections": 60, "HealthCheckPath": "/health"})
 	}
 	var routes []map[string]any
 	if withCampaign {
-		routes = append(routes, route("campaign", 0, 100, map[string]any{"Service": "archive"}))
+		routes = append(routes, route("campaign", 0, 100))
 	}
-	routes = append(routes,
-		route("export", 2, 800, map[string]any{"Service": "archive"}),
-		route("search", 1, 200, map[string]any{"FanoutServices": names, "TopK": 5, "MinShardShare": 0.75}))
-	f.configure(version, routes, services)
+	routes = append(routes, route("lookup", 1, 200))
+	f.configure(version, routes, []map[string]any{{"Name": "desk", "MaxConnections": 200, "HealthCheckPath": "/health"}})
 }
 
-// runSearches sends searches until stop is closed; the result waits for their ends.
-func runSearches(f *fleet, stop chan struct{}) (outcomes func() []outcome) {
+// runLookups sends requests until stop is closed; the result waits for their ends.
+func runLookups(f *fleet, stop chan struct{}) (outcomes func() []outcome) {
 	var mu sync.Mutex
 	var all []outcome
 	var group sync.WaitGroup
-	for i := range searchers {
+	for i := range lookupClients {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -134,14 +115,14 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(time.Duration(rand.ExpFloat64() * float64(searchPause))):
+				case <-time.After(time.Duration(rand.ExpFloat64() * float64(lookupPause))):
 				}
-				o := c.send(http.MethodGet, "/search/slots", searchTimeout)
+				o := c.send(http.MethodGet, "/lookup/seat", lookupTimeout)
 				mu.Lock()
 				all = append(all, o)
 				mu.Unlock()
 				if isPromise(o.status) {
-					time.Sleep(o.retryAfter(searchTimeout))
+					time.Sleep(o.retryAfter(lookupTimeout))
 				}
 			}
 		}()
