--- a/review/driver/removed_route.go
+++ b/review/driver/removed_route.go
@@ -22,6 +22,8 @@
 	minLongAnswers = 8
 )
 
+var lookupZones = []string{"zone-a", "zone-b", "zone-c"}
+
 // removedRoute checks that requests get an answer at the latest half a second after their
 // route's timeout while the operator adds and removes another route.
 func removedRoute(f *fleet, trouble bool) error {
@@ -31,7 +33,7 @@
 	}
 	f.cpuShare = lookupCores
 	configureLookups(f, 3, true)
-	if err := f.startHosts(stopZones...); err != nil {
+	if err := f.startHosts(lookupZones...); err != nil {
 		return err
 	}
 	time.Sleep(stableWindow)
@@ -61,7 +63,7 @@
 func startDesk(f *fleet) ([]*backend, error) {
 	work := func() time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(time.Millisecond)) }
 	var servers []*backend
-	for i, zone := range stopZones {
+	for i, zone := range lookupZones {
 		b, err := f.startBackend(fmt.Sprintf("i-desk%d", i), "desk", zone, 16, 32, work)
 		if err != nil {
 			return nil, err
@@ -109,7 +111,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			c := &client{fleet: f, zone: stopZones[i%len(stopZones)], keepsLong: i%4 == 0}
+			c := &client{fleet: f, zone: lookupZones[i%len(lookupZones)], keepsLong: i%4 == 0}
 			defer c.disconnect()
 			for {
 				select {
--- a/review/driver/stops.go
+++ b/review/driver/stops.go
@@ -23,7 +23,8 @@
 	exportTimeout = 8 * time.Second
 )
 
-var stopZones = []string{"zone-a", "zone-b", "zone-c"}
+// stopZones are the availability zones of settingsInAStop, with a host and a server each.
+var stopZones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
 
 // settingsInAStop checks that no request is lost when a host gets SIGTERM and then, with its
 // settings changed, SIGHUP. Without trouble the settings don't change.
