--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"github.com/goldcrestspan/goldcrestspan"
+	"github.com/goldcrestspan/goldcrestspan/internal/signals"
 	"github.com/goldcrestspan/goldcrestspan/observe"
 	"github.com/goldcrestspan/goldcrestspan/settings"
 )
 
-func newServeCommand() *cobra.Command {
+func newServeCommand(received *signals.Receiver) *cobra.Command {
 	var file string
 	command := &cobra.Command{
 		Use:   "serve",
@@ -25,14 +23,15 @@
 to use the host. It keeps serving until earlier advice has expired, then refuses
 new requests as "not run", finishes the requests in flight and exits. A second
 signal stops it at once: requests in flight are aborted, and the outcome of
-bookings in flight is unknown.`,
+bookings in flight is unknown. SIGHUP has no effect: changed certificates are
+read without it, and changed settings at the next start.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.Load(file)
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), *s)
+			return serve(cmd.Context(), *s, received)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "settings file of the host (YAML)")
@@ -40,7 +39,7 @@
 	return command
 }
 
-func serve(ctx context.Context, s settings.Settings) error {
+func serve(ctx context.Context, s settings.Settings, received *signals.Receiver) error {
 	logger, err := observe.NewLogger(s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
@@ -52,7 +51,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go handleSignals(cancel, host, logger)
+	go received.HandleStops(cancel, host.Abort, logger)
+	go logHangups(received, logger)
 	logger.Info("entry host started",
 		zap.String("host", host.Name()),
 		zap.String("callers", host.CallerAddress()),
@@ -63,14 +63,9 @@
 	return err
 }
 
-// handleSignals starts a planned stop at the first signal and aborts the host at
-// the second.
-func handleSignals(stop context.CancelFunc, host *goldcrestspan.Host, logger *zap.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	stop()
-	<-signals
-	logger.Warn("second signal received; aborting requests in flight")
-	host.Abort()
+// logHangups logs each SIGHUP. It doesn't return.
+func logHangups(received *signals.Receiver, logger *zap.Logger) {
+	for range received.Reloads() {
+		logger.Info("SIGHUP received; changed settings take effect at the next start")
+	}
 }
--- a/cmd/goldcrestspan/main.go
+++ b/cmd/goldcrestspan/main.go
@@ -7,10 +7,12 @@
 	"os"
 
 	"github.com/goldcrestspan/goldcrestspan/cli"
+	"github.com/goldcrestspan/goldcrestspan/internal/signals"
 )
 
 func main() {
-	if err := cli.NewRoot().ExecuteContext(context.Background()); err != nil {
+	received := signals.Receive()
+	if err := cli.NewRoot(received).ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "goldcrestspan:", err)
 		os.Exit(cli.ExitCode(err))
 	}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -12,7 +12,7 @@
 	Budget Budget
 	// MaxBodyBytes bounds the bodies of all requests in flight together.
 	MaxBodyBytes int64
-	// StopTimeout bounds a planned stop that begins later.
+	// StopTimeout bounds a planned stop that begins later; one that has begun keeps its bound.
 	StopTimeout time.Duration
 	// CPUCores is the CPU share of this host, in cores.
 	CPUCores float64
@@ -28,6 +28,6 @@
 		g.homes.ReapplyConfig()
 	}
 	g.log.Info("limits changed", zap.Float64("extra_ratio", next.Budget.Ratio), zap.Float64("extra_slack", next.Budget.Slack), zap.Duration("extra_window", next.Budget.Window),
-		zap.Int64("body_bytes", next.MaxBodyBytes), zap.Duration("stop_within", next.StopTimeout),
+		zap.Int64("body_bytes", next.MaxBodyBytes), zap.Duration("stop_within", next.StopTimeout), zap.Bool("stopping", g.Stopping()),
 		zap.Float64("processor", next.CPUCores), zap.Strings("seeds", next.Seeds))
 }
