--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -15,7 +15,8 @@
 // stop, a second aborts it, and more have no further effect.
 const stopQueueSize = 2
 
-// Receiver receives SIGTERM, SIGINT and SIGHUP.
+// Receiver receives SIGTERM, SIGINT and SIGHUP, and ignores SIGPIPE, which a write to a log that
+// nothing reads any more raises.
 type Receiver struct {
 	stops   chan os.Signal // SIGTERM and SIGINT
 	reloads chan os.Signal // SIGHUP; one that waits covers those that follow
@@ -27,6 +28,7 @@
 	r := &Receiver{stops: make(chan os.Signal, stopQueueSize), reloads: make(chan os.Signal, 1)}
 	signal.Notify(r.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(r.reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return r
 }
 
@@ -35,6 +37,7 @@
 func (r *Receiver) Release() {
 	signal.Stop(r.stops)
 	signal.Stop(r.reloads)
+	signal.Reset(syscall.SIGPIPE)
 	for _, received := range []chan os.Signal{r.stops, r.reloads} {
 		select {
 		case s := <-received:
