--- a/backend/backend.go
+++ b/backend/backend.go
@@ -108,6 +108,10 @@
 	KeepAliveTimeout time.Duration
 	// RetryAfter is the retry delay that the server asks for; zero if none.
 	RetryAfter time.Duration
+	// Connection is the number of the connection that the call was sent on, unique in this
+	// process, and ConnectionCalls how many calls it carried before; zero if there was none.
+	Connection      uint64
+	ConnectionCalls int
 }
 
 // Usable reports whether the reply can be part of an answer.
--- a/backend/client.go
+++ b/backend/client.go
@@ -141,6 +141,8 @@
 		return connectFailure(err)
 	}
 	res, reusable := c.exchange(ctx, server, connection, call)
+	res.Connection, res.ConnectionCalls = connection.number, connection.calls
+	connection.calls++
 	if reusable {
 		connection.keepAliveTimeout = res.KeepAliveTimeout
 		p.put(connection, time.Now())
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,15 +39,20 @@
 	writer           *bufio.Writer
 	idleSince        time.Time
 	keepAliveTimeout time.Duration // how long the server keeps it idle; 0: unknown
+	number           uint64        // unique in this process, above 0
+	calls            int           // carried before the present one
 }
 
+// lastConnection is the number of the newest connection of this process.
+var lastConnection atomic.Uint64
+
 // dial opens a connection; a nil config selects plain text.
 func dial(ctx context.Context, config *tls.Config, address string) (*conn, error) {
 	tcp, err := dialTCP(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{tcp: tcp, stream: tcp}
+	c := &conn{tcp: tcp, stream: tcp, number: lastConnection.Add(1)}
 	if config != nil {
 		config = config.Clone()
 		if config.ServerName == "" {
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -31,6 +31,7 @@
 		zap.String("request", call.Forward.AttemptID), zap.Stringer("fingerprint", fingerprintOf(call.Forward, call.Body)), zap.String("service", call.Service),
 		zap.String("server", server.Name), zap.String("address", server.Address),
 		zap.Stringer("fault", attempt.Fault), zap.Bool("not_run", attempt.Outcome.NotRun()),
+		zap.Uint64("connection", attempt.Connection), zap.Int("connection_calls", attempt.ConnectionCalls),
 		zap.Int("server_running", attempt.Reply.Load.Running), zap.Int("server_waiting", attempt.Reply.Load.Queued),
 		zap.Duration("took", r.now().Sub(started)), zap.Duration("left", call.Deadline.Sub(r.now())))
 	return attempt
