--- a/backend/backend.go
+++ b/backend/backend.go
@@ -106,6 +106,9 @@
 	Reply   Reply // set when Fault is FaultNone
 	// KeepAliveTimeout is how long the server keeps an idle connection open; zero if unknown.
 	KeepAliveTimeout time.Duration
+	// Unidentified is set if the reply echoes no ids. Only on a connection that carried no call
+	// before can it be no copy of an earlier reply.
+	Unidentified bool
 	// RetryAfter is the retry delay that the server asks for; zero if none.
 	RetryAfter time.Duration
 	// Connection is the number of the connection that the call was sent on, unique in this
--- a/backend/client.go
+++ b/backend/client.go
@@ -86,6 +86,7 @@
 	Probes                  uint64 // health requests for calls that received no data
 	UnresponsiveConnections uint64 // connections closed after a failed probe
 	MisroutedReplies        uint64 // replies with the ids of another request
+	UnidentifiedReplies     uint64 // replies without the ids of a request
 	CorruptReplies          uint64 // replies with a wrong length or digest
 }
 
@@ -99,7 +100,7 @@
 	pools     map[string]*pool // by server address
 	idleTimer *time.Timer      // closes expired connections; nil before the first pool
 
-	dials, probes, unresponsive, misroutedReplies, corruptReplies atomic.Uint64
+	dials, probes, unresponsive, misroutedReplies, unidentifiedReplies, corruptReplies atomic.Uint64
 }
 
 var _ Runner = (*Client)(nil)
@@ -125,6 +126,7 @@
 		Probes:                  c.probes.Load(),
 		UnresponsiveConnections: c.unresponsive.Load(),
 		MisroutedReplies:        c.misroutedReplies.Load(),
+		UnidentifiedReplies:     c.unidentifiedReplies.Load(),
 		CorruptReplies:          c.corruptReplies.Load(),
 	}
 }
@@ -136,14 +138,19 @@
 		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
 		defer cancel()
 	}
-	p, connection, err := c.connect(ctx, server, call)
+	key := c.options.Protocol.Key(call)
+	p, connection, err := c.connect(ctx, server, call, key)
 	if err != nil {
 		return connectFailure(err)
 	}
+	callsBefore := connection.carried.count()
+	connection.carried.add(key)
 	res, reusable := c.exchange(ctx, server, connection, call)
-	res.Connection, res.ConnectionCalls = connection.number, connection.calls
-	connection.calls++
-	if reusable {
+	if res.Unidentified {
+		res, reusable = c.checkUnidentified(res, callsBefore), false
+	}
+	res.Connection, res.ConnectionCalls = connection.number, callsBefore
+	if reusable && !connection.carried.full() {
 		connection.keepAliveTimeout = res.KeepAliveTimeout
 		p.put(connection, time.Now())
 		return res
@@ -153,6 +160,17 @@
 	return res
 }
 
+// checkUnidentified returns the result of a call whose reply echoes no ids. Only if the
+// connection carried no call before, the reply is certainly no copy of an earlier one.
+func (c *Client) checkUnidentified(res CallResult, callsBefore int) CallResult {
+	c.unidentifiedReplies.Add(1)
+	if callsBefore == 0 {
+		return res
+	}
+	c.misroutedReplies.Add(1)
+	return CallResult{Outcome: result.OutcomeUnknown, Fault: FaultMisroutedReply}
+}
+
 // connectFailure returns the result of a call for which no connection was available.
 func connectFailure(err error) CallResult {
 	if errors.Is(err, errConnectionLimit) {
@@ -161,19 +179,20 @@
 	return CallResult{Outcome: result.OutcomeUnsent, Fault: FaultUnreachable}
 }
 
-// connect reuses an idle connection or dials one. A call that is not idempotent
+// connect reuses an idle connection that has carried no call with the same ids, or
+// dials one. A call that is not idempotent
 // reuses only a connection that was in use recently: if the connection died
 // while idle, the outcome of the call would be unknown.
-func (c *Client) connect(ctx context.Context, server Server, call Call) (*pool, *conn, error) {
+func (c *Client) connect(ctx context.Context, server Server, call Call, key uint64) (*pool, *conn, error) {
 	maxIdle := c.options.IdleTimeout
 	if !call.Idempotent {
 		maxIdle = c.options.NonIdempotentIdleTimeout
 	}
 	p := c.pool(server)
-	connection, err := p.get(time.Now(), maxIdle, c.limit(server))
+	connection, err := p.get(time.Now(), maxIdle, c.limit(server), key)
 	for errors.Is(err, errPoolRemoved) {
 		p = c.pool(server)
-		connection, err = p.get(time.Now(), maxIdle, c.limit(server))
+		connection, err = p.get(time.Now(), maxIdle, c.limit(server), key)
 	}
 	if connection != nil || err != nil {
 		return p, connection, err
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -40,7 +40,7 @@
 	idleSince        time.Time
 	keepAliveTimeout time.Duration // how long the server keeps it idle; 0: unknown
 	number           uint64        // unique in this process, above 0
-	calls            int           // carried before the present one
+	carried          carriedCalls
 }
 
 // lastConnection is the number of the newest connection of this process.
--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
 
@@ -26,6 +28,11 @@
 	}
 }
 
+// Key counts the calls, as if each had ids of its own.
+func (stubProtocol) Key(Call) uint64 { return lastStubKey.Add(1) }
+
+var lastStubKey atomic.Uint64
+
 func (stubProtocol) Read(response *http.Response, _ Call) (CallResult, bool, error) {
 	body, err := io.ReadAll(response.Body)
 	return CallResult{Outcome: result.OutcomeRan, Fault: FaultNone, Reply: Reply{Body: body}}, !response.Close, err
@@ -197,3 +204,68 @@
 	is.Equal(res.Fault, FaultCancelled)
 	<-ended
 }
+
+// Guards against a late copy of a refusal that is taken for the reply to the next attempt of the
+// same request, which the server runs. Attempts of the native protocol have ids of their own, so
+// that the connection is used for both.
+func TestLateRefusalIsNotTakenForTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	reply := func(h http.Header, status, notRun string) string {
+		var head strings.Builder
+		echo := http.Header{}
+		for _, name := range []string{HeaderRequest, HeaderAttempt, HeaderShard} {
+			echo.Set(name, h.Get(name))
+		}
+		if notRun != "" {
+			echo.Set(HeaderNotRun, notRun)
+		}
+		_ = echo.Write(&head)
+		return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n" + head.String() + "\r\n"
+	}
+	server := serveConnections(t, func(c net.Conn, r *bufio.Reader) {
+		first, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		refusal := reply(first.Header, "503 Service Unavailable", string(NotRunShed))
+		_, _ = io.WriteString(c, refusal)
+		second, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, refusal+reply(second.Header, "500 Internal Server Error", ""))
+		_, _ = r.ReadByte()
+	})
+	c := NewClient(Options{ReadIdleTimeout: -1})
+	t.Cleanup(func() { _ = c.Close() })
+	call := Call{Request: ident.NewRequestID(), Deadline: time.Now().Add(5 * time.Second)}
+	run := func(attempt ident.AttemptID) CallResult {
+		call.Attempt = attempt
+		return c.Run(t.Context(), server, call)
+	}
+	is.Equal(run(1).Outcome, result.OutcomeRefused)
+	second := run(2)
+	is.Equal(second.Outcome, result.OutcomeUnknown)
+	is.Equal(second.Fault, FaultMisroutedReply)
+	is.Equal(c.Stats().Dials, uint64(1))
+}
+
+// Guards against a call that waits, or fails, because all idle connections have carried its ids
+// and the server's connection limit is reached.
+func TestAttemptAtTheConnectionLimitReplacesAConnection(t *testing.T) {
+	is := is.New(t)
+	p := &pool{}
+	now := time.Unix(1000, 0)
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = server.Close() })
+	used := &conn{tcp: &tcpConn{Conn: client}, idleSince: now}
+	used.carried.add(7)
+	p.open, p.idle = 1, []*conn{used}
+	c, err := p.get(now, time.Second, 1, 7)
+	is.NoErr(err)
+	is.Equal(c, nil) // dial
+	is.Equal(p.open, 1)
+	is.Equal(len(p.idle), 0)
+	_, err = p.get(now, time.Second, 1, 8)
+	is.Equal(err, errConnectionLimit) // the slot is taken
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,19 +21,20 @@
 // errPoolRemoved means that the caller must look the pool up again.
 var errPoolRemoved = errors.New("backend: pool was removed")
 
-// get returns the most recently used idle connection unless it was idle for
-// longer than maxIdle. Without one it reserves a slot to dial and returns nil.
-func (p *pool) get(now time.Time, maxIdle time.Duration, limit int) (*conn, error) {
+// get returns the most recently used idle connection that was idle for maxIdle at
+// most and has carried no call with the key. Without one it reserves a slot to dial
+// and returns nil.
+func (p *pool) get(now time.Time, maxIdle time.Duration, limit int, key uint64) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.removed {
 		return nil, errPoolRemoved
 	}
-	if c := p.newestIdle(now, maxIdle); c != nil {
+	if c := p.newestIdle(now, maxIdle, key); c != nil {
 		return c, nil
 	}
 	if p.open >= limit && len(p.idle) > 0 {
-		p.closeOldestIdle(1) // too old for this call; free its slot
+		p.closeOldestIdle(1) // none can be used for this call; free a slot
 	}
 	if p.open >= limit {
 		return nil, errConnectionLimit
@@ -41,17 +43,19 @@
 	return nil, nil
 }
 
-// newestIdle removes and returns the most recently used live idle connection.
-// p.mu must be held.
-func (p *pool) newestIdle(now time.Time, maxIdle time.Duration) *conn {
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
+// newestIdle removes and returns the most recently used idle connection that is
+// alive and has carried no call with the key. p.mu must be held.
+func (p *pool) newestIdle(now time.Time, maxIdle time.Duration, key uint64) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.carried.has(key) {
+			continue
+		}
 		alive := c.alive()
 		if alive && c.idleTooLong(now, maxIdle) {
 			return nil // the others have been idle for longer
 		}
-		p.idle = p.idle[:last]
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if alive {
 			return c
 		}
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/goldcrestspan/goldcrestspan/result"
@@ -19,6 +21,9 @@
 	// Request returns the HTTP request of a call; the Client sets its scheme and
 	// address.
 	Request(server Server, call Call) *http.Request
+	// Key returns a hash of the ids of the call that the reply echoes. A connection carries no two
+	// calls with the same key.
+	Key(call Call) uint64
 	// Read reads a reply to its end. reusable is false if the connection must be
 	// closed. It returns an error if the reply is incomplete or corrupt.
 	Read(response *http.Response, call Call) (res CallResult, reusable bool, err error)
@@ -49,6 +54,16 @@
 	return request
 }
 
+// Key implements Protocol. Attempts are numbered within this process, so that no two calls have
+// the same key.
+func (p nativeProtocol) Key(call Call) uint64 {
+	var ids [len(call.Request) + 16]byte
+	copy(ids[:], call.Request[:])
+	binary.LittleEndian.PutUint64(ids[len(call.Request):], uint64(call.Attempt))
+	binary.LittleEndian.PutUint64(ids[len(call.Request)+8:], uint64(call.Shard))
+	return xxhash.Sum64(ids[:])
+}
+
 // Read implements Protocol.
 func (p nativeProtocol) Read(response *http.Response, call Call) (CallResult, bool, error) {
 	if !echoesMatch(response.Header, call) {
