--- a/home/reconfigure_test.go
+++ b/home/reconfigure_test.go
@@ -100,3 +100,23 @@
 	}
 	return n
 }
+
+// Guards against a home that panics when the last class is removed, and so loses its legs.
+func TestLegsOutliveTheRemovalOfAllClasses(t *testing.T) {
+	is := is.New(t)
+	h := New(config(), 0)
+	h.SetServers(start, []ServerSpec{{Name: "a", Incarnation: 1}}, nil)
+	running := startsOf(submitMany(h, 6))
+	cfg := config()
+	cfg.Classes = nil
+	h.Reconfigure(start, cfg, nil)
+	answered := 0
+	for now := start; len(running) > 0; {
+		now = now.Add(time.Millisecond)
+		acts := h.Finish(now, running[0].Attempt, AttemptResult{Outcome: result.OutcomeRan}, nil)
+		running = append(running[1:], startsOf(acts)...)
+		answered += countKind(acts, ActionAnswer)
+	}
+	is.Equal(answered, 6)
+	is.Equal(h.ClassIndex("interactive"), 0)
+}
--- a/home/state.go
+++ b/home/state.go
@@ -37,6 +37,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if len(c.Classes) == 0 {
+		c.Classes = []ClassSpec{{}} // for legs of classes that were removed
+	}
 	if c.MaxQueueBytes == 0 {
 		c.MaxQueueBytes = defaultMaxQueueBytes
 	}
@@ -117,6 +120,18 @@
 	return nil
 }
 
+// ClassIndex returns the index of the class with the name, as it is until the next Reconfigure. A
+// class that this home doesn't have counts as the first one: Reconfigure moves the legs of a removed
+// class there, and a leg that crosses the change is treated the same.
+func (h *Home) ClassIndex(name string) int {
+	for i := range h.classes {
+		if h.classes[i].spec.Name == name {
+			return i
+		}
+	}
+	return 0
+}
+
 // Submit adds a leg, which starts, waits or fails at once.
 func (h *Home) Submit(now time.Time, in Leg, acts []Action) []Action {
 	l := &leg{Leg: in, outcome: result.OutcomeUnsent, orderBy: in.Deadline}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -107,10 +107,9 @@
 // Refresh applies the current configuration to the homes. New legs do so by themselves;
 // legs that already wait need the call.
 func (s *Server) Refresh() {
-	config := s.currentConfig()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(config)
+	s.refresh()
 }
 
 // ReapplyConfig applies the current result of the ConfigOverride to the homes.
@@ -122,7 +121,10 @@
 	}
 }
 
-func (s *Server) refresh(config *bundle.Config) {
+// refresh applies the current configuration, which it reads under s.mu: one that was read before
+// may be older than the one that is applied.
+func (s *Server) refresh() {
+	config := s.currentConfig()
 	if config == s.config || config == nil {
 		return
 	}
@@ -160,7 +162,7 @@
 
 // Run runs a leg at this host's home of its service; see leg.Runner.
 func (s *Server) Run(request leg.Request, done func(leg.Result)) (cancel func()) {
-	svc, class, failure := s.homeFor(request)
+	svc, failure := s.homeFor(request)
 	if failure != nil {
 		done(*failure)
 		return func() {}
@@ -172,29 +174,28 @@
 		return func() {}
 	}
 	id := home.LegID(s.nextLeg.Add(1))
-	svc.submit(id, class, request, done)
+	svc.submit(id, request, done)
 	return func() { svc.cancel(id) }
 }
 
-func (s *Server) homeFor(request leg.Request) (*service, int, *leg.Result) {
+func (s *Server) homeFor(request leg.Request) (*service, *leg.Result) {
 	config := s.currentConfig()
 	if config == nil {
-		return nil, 0, refusal(request, result.NotReady, "no configuration yet")
+		return nil, refusal(request, result.NotReady, "no configuration yet")
 	}
-	_, class, ok := config.Class(request.Class)
-	if !ok {
-		return nil, 0, refusal(request, result.BadRequest, "unknown class "+request.Class)
+	if _, _, ok := config.Class(request.Class); !ok {
+		return nil, refusal(request, result.BadRequest, "unknown class "+request.Class)
 	}
 	s.mu.RLock()
 	svc, current := s.services[request.Service], s.config
 	s.mu.RUnlock()
 	if svc == nil || current != config {
-		svc = s.openHome(config, request.Service)
+		svc = s.openHome(request.Service)
 	}
 	if svc == nil {
-		return nil, 0, refusal(request, result.NoBackend, "unknown service "+request.Service)
+		return nil, refusal(request, result.NoBackend, "unknown service "+request.Service)
 	}
-	return svc, class, nil
+	return svc, nil
 }
 
 func refusal(request leg.Request, code result.Code, detail string) *leg.Result {
@@ -206,10 +207,10 @@
 // host.
 const attemptIDsPerHome = 1 << 40
 
-func (s *Server) openHome(config *bundle.Config, name string) *service {
+func (s *Server) openHome(name string) *service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(config)
+	s.refresh()
 	if svc := s.services[name]; svc != nil {
 		return svc
 	}
@@ -254,11 +255,10 @@
 	if svc == nil || config == nil {
 		return leg.Forecast{}
 	}
-	_, classIndex, ok := config.Class(class)
-	if !ok {
+	if _, _, ok := config.Class(class); !ok {
 		return leg.Forecast{}
 	}
-	return svc.forecast(classIndex)
+	return svc.forecast(class)
 }
 
 // ServerInZone returns the name of the service's first server by name in the
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -66,13 +66,13 @@
 	}
 }
 
-func (s *service) submit(id home.LegID, class int, request leg.Request, done func(leg.Result)) {
+func (s *service) submit(id home.LegID, request leg.Request, done func(leg.Result)) {
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
 		s.legs[id] = &openLeg{request: request, done: done, submittedAt: now, queueTime: leg.UnknownQueueTime}
 		return s.home.Submit(now, home.Leg{
 			ID:           id,
 			Request:      request.Request,
-			Class:        class,
+			Class:        s.home.ClassIndex(request.Class),
 			Caller:       request.Caller,
 			Deadline:     request.Deadline,
 			Idempotent:   request.Idempotent,
@@ -141,15 +141,10 @@
 	})
 }
 
-// decide makes one decision under the mutex and carries out its actions, then delivers
-// results and state changes without the mutex.
+// decide makes one decision and carries out its actions, then delivers results and state
+// changes without the mutex.
 func (s *service) decide(decision func(time.Time, []home.Action) []home.Action) {
-	s.mu.Lock()
-	s.acts = decision(s.server.now(), s.acts[:0])
-	completions := s.apply(s.acts)
-	changes := s.home.DrainChanges()
-	s.setTimer()
-	s.mu.Unlock()
+	completions, changes := s.decideLocked(decision)
 	for _, change := range changes {
 		s.server.notify(s.name, change)
 	}
@@ -158,6 +153,18 @@
 	}
 }
 
+// decideLocked makes one decision under the mutex and carries out its actions. A panic, which
+// net/http recovers, releases the mutex.
+func (s *service) decideLocked(decision func(time.Time, []home.Action) []home.Action) ([]completion, []home.ServerChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acts = decision(s.server.now(), s.acts[:0])
+	completions := s.apply(s.acts)
+	changes := s.home.DrainChanges()
+	s.setTimer()
+	return completions, changes
+}
+
 func (s *service) apply(acts []home.Action) []completion {
 	var completions []completion
 	for _, act := range acts {
@@ -287,10 +294,10 @@
 	})
 }
 
-func (s *service) forecast(class int) leg.Forecast {
+func (s *service) forecast(class string) leg.Forecast {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.home.Forecast(s.server.now(), class)
+	return s.home.Forecast(s.server.now(), s.home.ClassIndex(class))
 }
 
 func (s *service) openLegs() int {
