--- a/backend/client.go
+++ b/backend/client.go
@@ -18,6 +18,7 @@
 const (
 	defaultConnections              = 24
 	defaultMaxReplyBytes            = 4 << 20
+	defaultMaxReplyMemory           = 64 << 20
 	defaultDialTimeout              = 500 * time.Millisecond
 	defaultReadIdleTimeout          = time.Second
 	defaultProbeTimeout             = 500 * time.Millisecond
@@ -40,6 +41,9 @@
 	ConnectionLimit func(Server) int
 	// MaxReplyBytes limits the body of a reply; default 4 MiB.
 	MaxReplyBytes int64
+	// MaxReplyMemory limits the bytes of all replies that are read at once, apart from the first
+	// 64 KiB of each; default 64 MiB. SetMaxReplyMemory changes it.
+	MaxReplyMemory int64
 	// DialTimeout limits how long opening a connection takes; default 500 ms.
 	DialTimeout time.Duration
 	// ReadIdleTimeout is how long a call may receive no data before the server is
@@ -62,6 +66,7 @@
 func (o Options) withDefaults() Options {
 	setDefault(&o.ConnectionsPerServer, defaultConnections)
 	setDefault(&o.MaxReplyBytes, defaultMaxReplyBytes)
+	setDefault(&o.MaxReplyMemory, defaultMaxReplyMemory)
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.ReadIdleTimeout, defaultReadIdleTimeout)
 	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
@@ -86,6 +91,7 @@
 	Probes                  uint64 // health requests for calls that received no data
 	UnresponsiveConnections uint64 // connections closed after a failed probe
 	MisroutedReplies        uint64 // replies with the ids of another request
+	RepliesOverMemory       uint64 // replies dropped as others took the memory for long ones
 	UnidentifiedReplies     uint64 // replies without the ids of a request
 	CorruptReplies          uint64 // replies with a wrong length or digest
 }
@@ -96,11 +102,13 @@
 	options Options
 	scheme  string
 
+	replyMemory replyMemory
+
 	mu        sync.Mutex
 	pools     map[string]*pool // by server address
 	idleTimer *time.Timer      // closes expired connections; nil before the first pool
 
-	dials, probes, unresponsive, misroutedReplies, unidentifiedReplies, corruptReplies atomic.Uint64
+	dials, probes, unresponsive, misroutedReplies, unidentifiedReplies, corruptReplies, repliesOverMemory atomic.Uint64
 }
 
 var _ Runner = (*Client)(nil)
@@ -112,13 +120,19 @@
 	if options.TLS != nil {
 		scheme = "https"
 	}
-	return &Client{
+	c := &Client{
 		options: options,
 		scheme:  scheme,
 		pools:   make(map[string]*pool),
 	}
+	c.SetMaxReplyMemory(options.MaxReplyMemory)
+	return c
 }
 
+// SetMaxReplyMemory changes the limit on the bytes of all replies that are read at once. Replies
+// that are being read keep what they have.
+func (c *Client) SetMaxReplyMemory(bytes int64) { c.replyMemory.limit.Store(bytes) }
+
 // Stats returns the current counters.
 func (c *Client) Stats() Stats {
 	return Stats{
@@ -126,6 +140,7 @@
 		Probes:                  c.probes.Load(),
 		UnresponsiveConnections: c.unresponsive.Load(),
 		MisroutedReplies:        c.misroutedReplies.Load(),
+		RepliesOverMemory:       c.repliesOverMemory.Load(),
 		UnidentifiedReplies:     c.unidentifiedReplies.Load(),
 		CorruptReplies:          c.corruptReplies.Load(),
 	}
@@ -220,7 +235,7 @@
 	request := c.options.Protocol.Request(server, call)
 	request.URL.Scheme = c.scheme
 	request.URL.Host = server.Address
-	e, err := connection.roundTrip(ctx, request)
+	e, err := connection.roundTrip(ctx, request, &c.replyMemory)
 	if err != nil {
 		return sendFailure(ctx, watch, connection.abort() != before), false
 	}
@@ -234,6 +249,9 @@
 	switch {
 	case err != nil && (watch.unresponsive.Load() || ctx.Err() != nil):
 		return CallResult{Outcome: result.OutcomeUnknown, Fault: incompleteFault(ctx, watch)}
+	case errors.Is(err, errReplyMemory):
+		c.repliesOverMemory.Add(1)
+		return CallResult{Outcome: result.OutcomeUnknown, Fault: FaultCorruptReply}
 	case err != nil:
 		c.corruptReplies.Add(1)
 		return CallResult{Outcome: result.OutcomeUnknown, Fault: FaultCorruptReply}
@@ -292,7 +310,7 @@
 	if call != nil {
 		newHeaderWriter(request.Header, callHeaderCount).setIDs(*call)
 	}
-	e, err := connection.roundTrip(ctx, request)
+	e, err := connection.roundTrip(ctx, request, &c.replyMemory)
 	if err != nil {
 		return health, errors.Wrapf(err, "health of %s", server.Name)
 	}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -82,7 +82,7 @@
 
 // roundTrip sends the request and reads the headers of its reply. The connection
 // is closed if ctx ends first.
-func (c *conn) roundTrip(ctx context.Context, request *http.Request) (*exchange, error) {
+func (c *conn) roundTrip(ctx context.Context, request *http.Request, memory *replyMemory) (*exchange, error) {
 	e := &exchange{conn: c}
 	e.stopCancel = context.AfterFunc(ctx, func() { c.tcp.abort() })
 	if err := e.send(request); err != nil {
@@ -94,7 +94,7 @@
 		e.stopCancel()
 		return nil, err
 	}
-	e.response, e.body = response, &eofBody{ReadCloser: response.Body}
+	e.response, e.body = response, &eofBody{ReadCloser: response.Body, reservation: replyReservation{memory: memory}}
 	response.Body = e.body
 	return e, nil
 }
@@ -136,9 +136,10 @@
 // maxReplyBodyBytes is more than any Protocol reads of a body.
 const maxReplyBodyBytes = 1 << 30
 
-// finish reports whether the connection can be reused: the request was sent
+// finish ends the exchange and reports whether the connection can be reused: the request was sent
 // completely, the reply was read to its end, and no data follows it.
 func (e *exchange) finish() bool {
+	e.body.reservation.release()
 	open := e.stopCancel() && e.body.atEOF
 	if e.writeDone != nil {
 		select {
@@ -151,17 +152,21 @@
 	return open && e.conn.reader.Buffered() == 0
 }
 
-// eofBody records whether the body was read to its end. It is never closed,
+// eofBody records whether the body was read to its end, and reserves memory for it. It is never closed,
 // because Close would wait for the rest of the body.
 type eofBody struct {
 	io.ReadCloser
-	atEOF bool
+	atEOF       bool
+	reservation replyReservation
 }
 
 // Read implements io.Reader.
 func (b *eofBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.atEOF = b.atEOF || err == io.EOF
+	if reserveErr := b.reservation.add(n); reserveErr != nil {
+		return 0, reserveErr
+	}
 	return n, err
 }
 
--- a/backend/metrics.go
+++ b/backend/metrics.go
@@ -16,6 +16,7 @@
 		{"silent_connections_total", "Connections dropped as silent.", func(s Stats) uint64 { return s.UnresponsiveConnections }},
 		{"crossed_replies_total", "Replies dropped as another request's.", func(s Stats) uint64 { return s.MisroutedReplies }},
 		{"unidentified_replies_total", "Replies without the ids of a request.", func(s Stats) uint64 { return s.UnidentifiedReplies }},
+		{"replies_over_memory_total", "Replies dropped as others took the memory for long ones.", func(s Stats) uint64 { return s.RepliesOverMemory }},
 		{"half_replies_total", "Replies dropped for their length or digest.", func(s Stats) uint64 { return s.CorruptReplies }},
 	}
 	for _, counter := range counters {
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -139,8 +139,8 @@
 	if response.ContentLength < 0 || response.ContentLength > limit {
 		return nil, errors.Errorf("content length %d is unknown or exceeds the limit", response.ContentLength)
 	}
-	body := make([]byte, response.ContentLength)
-	if _, err := io.ReadFull(response.Body, body); err != nil {
+	body, err := readLength(response.Body, response.ContentLength)
+	if err != nil {
 		return nil, err
 	}
 	var extra [1]byte
@@ -149,3 +149,18 @@
 	}
 	return body, nil
 }
+
+// readLength reads length bytes. Memory for a long body is taken as it arrives, as a faulty server
+// may state any length.
+func readLength(r io.Reader, length int64) ([]byte, error) {
+	if length <= unreservedReplyBytes {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, length))
+	if err == nil && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
