--- a/backend/conn.go
+++ b/backend/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -111,12 +114,49 @@
 }
 
 func (c *conn) write(request *http.Request) error {
-	if err := request.Write(c.writer); err != nil {
+	if err := writeRequest(c.writer, request); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
+// writeRequest writes the request with URL.Opaque as its target, unchanged. net/http would put the
+// scheme before a target that begins with two slashes.
+func writeRequest(w io.Writer, request *http.Request) error {
+	target := request.URL.Opaque
+	if !strings.HasPrefix(target, "//") {
+		return request.Write(w)
+	}
+	rest := *request
+	rest.URL = &url.URL{Path: "/"}
+	line := request.Method + " " + target + " HTTP/1.1\r\n"
+	return rest.Write(&requestLineReplacer{out: w, line: line})
+}
+
+// requestLineReplacer replaces the first line of what is written to it.
+type requestLineReplacer struct {
+	out      io.Writer
+	line     string
+	replaced bool
+}
+
+// Write implements io.Writer.
+func (r *requestLineReplacer) Write(p []byte) (int, error) {
+	if r.replaced {
+		return r.out.Write(p)
+	}
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p), nil
+	}
+	r.replaced = true
+	if _, err := io.WriteString(r.out, r.line); err != nil {
+		return 0, err
+	}
+	n, err := r.out.Write(p[end+1:])
+	return end + 1 + n, err
+}
+
 // readResponseHead reads the headers of the reply and skips 1xx replies.
 func (c *conn) readResponseHead(request *http.Request) (*http.Response, error) {
 	for range maxInterimReplies {
