--- a/backend/backend.go
+++ b/backend/backend.go
@@ -106,8 +106,8 @@
 	Reply   Reply // set when Fault is FaultNone
 	// KeepAliveTimeout is how long the server keeps an idle connection open; zero if unknown.
 	KeepAliveTimeout time.Duration
-	// Unidentified is set if the reply echoes no ids. Only on a connection that carried no call
-	// before can it be no copy of an earlier reply.
+	// Unidentified is set if the reply echoes no ids. Its connection is closed, as a copy of it could
+	// not be told from the reply to a later call.
 	Unidentified bool
 	// RetryAfter is the retry delay that the server asks for; zero if none.
 	RetryAfter time.Duration
--- a/backend/client.go
+++ b/backend/client.go
@@ -162,7 +162,8 @@
 	connection.carried.add(key)
 	res, reusable := c.exchange(ctx, server, connection, call)
 	if res.Unidentified {
-		res, reusable = c.checkUnidentified(res, callsBefore), false
+		c.unidentifiedReplies.Add(1)
+		reusable = false
 	}
 	res.Connection, res.ConnectionCalls = connection.number, callsBefore
 	if reusable && !connection.carried.full() {
@@ -175,17 +176,6 @@
 	return res
 }
 
-// checkUnidentified returns the result of a call whose reply echoes no ids. Only if the
-// connection carried no call before, the reply is certainly no copy of an earlier one.
-func (c *Client) checkUnidentified(res CallResult, callsBefore int) CallResult {
-	c.unidentifiedReplies.Add(1)
-	if callsBefore == 0 {
-		return res
-	}
-	c.misroutedReplies.Add(1)
-	return CallResult{Outcome: result.OutcomeUnknown, Fault: FaultMisroutedReply}
-}
-
 // connectFailure returns the result of a call for which no connection was available.
 func connectFailure(err error) CallResult {
 	if errors.Is(err, errConnectionLimit) {
