--- a/cmd/goldcrestspan/main_test.go
+++ b/cmd/goldcrestspan/main_test.go
@@ -471,3 +471,49 @@
 	p.is.NoErr(err)
 	return kib << 10
 }
+
+// Guards against requests that are taken late in a planned stop, passed on, and cut off at its end:
+// each is answered, and one whose time is known to be too long is refused as not run.
+func TestLateRequestsInAPlannedStopAreAnswered(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("time known %v", known), func(t *testing.T) { testLateRequests(t, known) })
+	}
+}
+
+func testLateRequests(t *testing.T, timeKnown bool) {
+	is := is.New(t)
+	path, store := preparePlatform(t)
+	slow, err := standin.StartBackend("slow-1", "slow", "zone-a")
+	is.NoErr(err)
+	t.Cleanup(slow.Close)
+	slow.SetDelay(2400 * time.Millisecond)
+	store.Put("servers", "slow-1", slow.Entry("ready"))
+	configurePlatform(store, 6, "non_idempotent", "slow")
+	p := startProcess(t, []string{"GOLDCRESTSPAN_NODE_FILE=" + path}, "platform")
+	p.waitUntilReady()
+	if timeKnown {
+		is.Equal(send("/slow/x", "first", 7*time.Second).status, http.StatusOK)
+	}
+	results := make(chan callResult)
+	sent := 0
+	launch := func() {
+		id := fmt.Sprintf("booking-%d", sent)
+		sent++
+		go func() { results <- send("/slow/x", id, 7*time.Second) }()
+	}
+	p.signal(syscall.SIGTERM)
+	for range 20 { // through the first 4 s, in which callers may hold older advice
+		launch()
+		time.Sleep(200 * time.Millisecond)
+	}
+	byStatus := make(map[int]int)
+	for range sent {
+		result := <-results
+		is.NoErr(result.err)
+		byStatus[result.status]++
+	}
+	t.Logf("answers by status: %v", byStatus)
+	is.True(byStatus[http.StatusOK] > 0)
+	is.True(!timeKnown || byStatus[http.StatusServiceUnavailable] > 0)
+	p.requireCleanExit()
+}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -60,5 +60,19 @@
 	}
 }
 
+// forecastMargin is how much longer than forecast a request may take that is still let in: times
+// scatter, and a request that is given up at the end of the stop may have run for nothing.
+const forecastMargin = 1.2
+
+// Admits reports whether a request may start at now although the host stops: it must end before the
+// stop does, by its deadline or, with a margin, by its forecast. A refused request is sent elsewhere,
+// while one that the stop ends has an unknown outcome. A zero forecast is unknown.
+func (s *Stop) Admits(now, deadline time.Time, forecast time.Duration) bool {
+	if !deadline.After(s.deadline) {
+		return true
+	}
+	return time.Duration(forecastMargin*float64(forecast)) <= s.Remaining(now)
+}
+
 // Remaining returns the time until the stop times out.
 func (s *Stop) Remaining(now time.Time) time.Duration { return max(s.deadline.Sub(now), 0) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,6 +139,7 @@
 	zonesMu         sync.Mutex                     // held while zoneServers and split are computed
 	split           atomic.Pointer[splitServices]
 	stop            atomic.Pointer[drain.Stop]
+	stopEnded       chan struct{} // closed when a planned stop has ended, to end the requests in flight
 	inFlight        atomic.Int64
 	bodyBytes       atomic.Int64 // request body bytes in flight
 	attempts        atomic.Int64 // at backend servers since start
@@ -178,6 +179,7 @@
 		log:          options.Logger,
 		events:       make(chan func(), eventQueueSize),
 		controlDone:  make(chan struct{}),
+		stopEnded:    make(chan struct{}),
 		gate:         freshness.NewGate(options.Customers.ConfigTimeout),
 		serverStates: make(map[string]serverState),
 		warming:      &warming{self: ident.HostID(options.Name), zone: options.Zone, tolerance: options.Warmup},
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/goldcrestspan/goldcrestspan/admit"
 	"github.com/goldcrestspan/goldcrestspan/bundle"
 	"github.com/goldcrestspan/goldcrestspan/customer"
 	"github.com/goldcrestspan/goldcrestspan/drain"
@@ -146,7 +147,7 @@
 	}
 	querySpec := g.querySpec(c, r, service, q, who)
 	querySpec.Fingerprint = uint64(fingerprint)
-	permit, refusal := g.searches.admit(c, priorityOf(r, who), &querySpec)
+	permit, refusal := g.admitQuery(c, r, who, &querySpec)
 	if refusal != nil {
 		if admission.Canary {
 			g.crashDetector.suspects.EndCanary(fingerprint)
@@ -177,6 +178,14 @@
 	return out
 }
 
+// admitQuery admits a query unless it would outlast a planned stop, or its services lack room.
+func (g *Gateway) admitQuery(c *configuration, r *route.Route, who *customer.Customer, spec *scatter.QuerySpec) (*admit.Permit, *Answer) {
+	if refusal := g.refuseInStop(spec); refusal != nil {
+		return nil, refusal
+	}
+	return g.searches.admit(c, priorityOf(r, who), spec)
+}
+
 // runCanary runs a suspect on one server first, if it gets the lease for that.
 func (g *Gateway) runCanary(ctx context.Context, spec scatter.QuerySpec, fingerprint quarantine.Fingerprint) *scatter.Answer {
 	latest := g.options.Now().Add(quarantine.MaxCanaryDuration)
@@ -223,6 +232,7 @@
 		Body:       q.Body,
 		MaxServers: r.MaxServers,
 		Forward:    q.Forward,
+		End:        g.stopEnded,
 	}
 }
 
--- a/host.go
+++ b/host.go
@@ -71,7 +71,9 @@
 	replaced chan struct{} // closed once another process runs under this host's name
 	inFlight atomic.Int64  // callers' requests
 	stop     atomic.Pointer[drain.Stop]
-	gate     *freshness.Gate
+	// stopEnded is closed when a planned stop has ended, to end the queries in flight.
+	stopEnded chan struct{}
+	gate      *freshness.Gate
 }
 
 // New builds a host and opens its listeners; Run starts it.
@@ -86,7 +88,7 @@
 		cancel()
 		return nil, err
 	}
-	h := &Host{components: built, options: options, runCtx: runCtx, cancel: cancel, replaced: make(chan struct{}), gate: freshness.NewGate(s.Limits.CutOffAfter)}
+	h := &Host{components: built, options: options, runCtx: runCtx, cancel: cancel, replaced: make(chan struct{}), stopEnded: make(chan struct{}), gate: freshness.NewGate(s.Limits.CutOffAfter)}
 	h.components.Hooks.bind(h)
 	h.front = front.New(h, h.components.Metrics, front.Options{
 		MaxBodyBytes:  s.Limits.MaxBodyBytes,
--- a/query.go
+++ b/query.go
@@ -48,6 +48,7 @@
 		Caller:      q.Caller.Name,
 		Fingerprint: uint64(fingerprint(q)),
 		Body:        q.Body,
+		End:         h.stopEnded,
 	}, nil
 }
 
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -48,6 +48,9 @@
 	// Canary is set if the query must run as a canary. It is asked with the service that the
 	// query would run on first, and may block for a call to another host.
 	Canary func(service string) CanaryPermit
+	// End, if not nil, ends the query like its deadline when it is closed: with the parts that it
+	// has, and with what is known of the other legs.
+	End <-chan struct{}
 }
 
 // Coordinator runs queries. Between them it keeps only how many waited for stragglers.
@@ -101,7 +104,7 @@
 const homesPerLeg = 2
 
 // Run runs the query and returns its answer, at the latest at the final cut-off
-// or when ctx ends, and cancels the legs that are still open.
+// or when ctx or spec.End does, and cancels the legs that are still open.
 func (c *Coordinator) Run(ctx context.Context, spec QuerySpec) *Answer {
 	shards := spec.Snapshot.Shards
 	r := &run{
@@ -135,6 +138,10 @@
 		case <-timer.C:
 			r.cutOff()
 			timer.Reset(r.untilNextCheck())
+		case <-r.spec.End:
+			r.cancelOpen()
+			r.drainResults()
+			r.query.Expire()
 		case <-ctx.Done():
 			r.query.Cancel()
 		}
@@ -175,6 +182,16 @@
 	return false
 }
 
+// LongestForecast returns the longest queueing and service time that is forecast for a leg of the
+// query; zero if none is known.
+func (c *Coordinator) LongestForecast(spec *QuerySpec) (longest time.Duration) {
+	for _, shard := range spec.Snapshot.Shards {
+		forecast := c.homes.Forecast(shard.Service, spec.Class)
+		longest = max(longest, forecast.QueueTime+forecast.ServiceTime)
+	}
+	return longest
+}
+
 // cutOff ends the query if it is time to. At the final cut-off the open legs are
 // cancelled first and their results taken in, since a local home can then say
 // that a leg has not run. Otherwise the customer of a booking that only waited
--- a/scatter/query.go
+++ b/scatter/query.go
@@ -206,6 +206,9 @@
 // Expire ends the query with the parts that it has. A leg that is still open may
 // have run, so its outcome is unknown.
 func (q *Query) Expire() {
+	if q.answer != nil {
+		return
+	}
 	q.closeOpen(result.DeadlineExceeded, "no reply in time")
 	q.finish()
 }
--- a/stop.go
+++ b/stop.go
@@ -15,7 +15,7 @@
 
 // plannedStop leaves the membership, serves until cached advice expires, then
 // refuses new work, and returns when nothing is in flight or the time limit is
-// reached.
+// reached. Queries that are in flight then are answered with what is known of them.
 func (h *Host) plannedStop(ctx context.Context) {
 	adviceTTL := time.Duration(0)
 	if config := h.Config(); config != nil {
@@ -24,7 +24,9 @@
 	stop := drain.Begin(h.components.Now(), adviceTTL, h.components.Settings.Limits.StopTimeout)
 	h.stop.Store(stop)
 	h.leaveMembership(ctx)
-	if stop.Wait(ctx, h.components.Now, h.workInFlight, h.components.Log) {
+	done := stop.Wait(ctx, h.components.Now, h.workInFlight, h.components.Log)
+	close(h.stopEnded)
+	if done {
 		h.drainBookings(ctx, stop)
 	}
 }
