--- a/backend/carried.go
+++ b/backend/carried.go
@@ -1,5 +1,7 @@
 package backend
 
+import "slices"
+
 // maxCarriedCalls is the number of calls after which a connection is closed. It bounds the memory
 // of carriedCalls to 4 KiB; one call in so many opens a connection for it.
 const maxCarriedCalls = 512
@@ -17,14 +19,7 @@
 
 // has reports whether a call with the key was recorded. Two keys may be equal by chance, which
 // costs no more than the use of another connection.
-func (c *carriedCalls) has(key uint64) bool {
-	for _, carried := range c.keys {
-		if carried == key {
-			return true
-		}
-	}
-	return false
-}
+func (c *carriedCalls) has(key uint64) bool { return slices.Contains(c.keys, key) }
 
 // count returns the number of recorded calls.
 func (c *carriedCalls) count() int { return len(c.keys) }
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -50,17 +50,17 @@
 // Reloads receives a value for one SIGHUP or several.
 func (r *Receiver) Reloads() <-chan os.Signal { return r.reloads }
 
-// HandleStops calls stop at the first SIGTERM or SIGINT, and again at each later one. A nil again
-// means that later ones have no effect. It doesn't return.
-func (r *Receiver) HandleStops(stop, again func(), log *zap.Logger) {
+// HandleStops calls stop at the first SIGTERM or SIGINT, and abort at the second. If abort is nil,
+// only the first has an effect, and HandleStops doesn't return.
+func (r *Receiver) HandleStops(stop, abort func(), log *zap.Logger) {
 	log.Info("signal received; starting a planned stop", zap.Stringer("signal", <-r.stops))
 	stop()
 	for s := range r.stops {
-		if again == nil {
-			log.Info("signal received during the planned stop; it continues", zap.Stringer("signal", s))
-			continue
+		if abort != nil {
+			log.Warn("signal received during the planned stop; aborting requests in flight", zap.Stringer("signal", s))
+			abort()
+			return
 		}
-		log.Warn("signal received during the planned stop; aborting requests in flight", zap.Stringer("signal", s))
-		again()
+		log.Info("signal received during the planned stop; it continues", zap.Stringer("signal", s))
 	}
 }
