--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -20,8 +20,9 @@
 type caseFunc func(s *system, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"config-hang":     playConfigHang,
-	"removed-service": playRemovedService,
+	"config-hang":       playConfigHang,
+	"removed-service":   playRemovedService,
+	"rejected-watchers": playRejectedWatchers,
 }
 
 func main() {
--- a/review/driver2/server.go
+++ b/review/driver2/server.go
@@ -24,6 +24,11 @@
 	http              *http.Server
 	free              chan struct{} // holds a token for each free slot
 
+	// The server pauses for pauseFor at each pauseEvery after pausePhase; 0: never. Set them before
+	// the first request.
+	pauseFor, pauseEvery time.Duration
+	pausePhase           time.Time
+
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	running  int
@@ -171,11 +176,27 @@
 	s.free <- struct{}{}
 }
 
+// pauseWithin returns for how long the server pauses during work that starts now.
+func (s *server) pauseWithin(now time.Time, work time.Duration) time.Duration {
+	phase := now.Sub(s.pausePhase) % s.pauseEvery
+	switch {
+	case phase < s.pauseFor:
+		return s.pauseFor - phase
+	case phase+work > s.pauseEvery:
+		return s.pauseFor
+	default:
+		return 0
+	}
+}
+
 // answer works on the request and answers it; it stops at the deadline, and when the caller has gone.
 func (s *server) answer(ctx context.Context, w http.ResponseWriter, attempt string) {
 	s.mu.Lock()
 	work := s.work(s.rnd)
 	s.mu.Unlock()
+	if s.pauseEvery > 0 {
+		work += s.pauseWithin(time.Now(), work)
+	}
 	timer := time.NewTimer(work)
 	defer timer.Stop()
 	status := http.StatusOK
--- a/review/driver2/system.go
+++ b/review/driver2/system.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -34,6 +35,9 @@
 	store       *standin.Store
 	servers     []*server
 	hosts       []*host
+	// separateStore gives each host an address of its own at which it reaches the store. Set it
+	// before the hosts start.
+	separateStore bool
 }
 
 // host is an entry host in a process of its own.
@@ -42,6 +46,7 @@
 	front, ready, directory string
 	settings                string
 	process                 *exec.Cmd
+	storeFront              *storeFront // nil if the host calls the store itself
 }
 
 func newSystem(binary, recordPath string, seed uint64) (*system, error) {
@@ -71,6 +76,11 @@
 		})
 	}
 	stopping.Wait()
+	for _, h := range s.hosts {
+		if h.storeFront != nil {
+			h.storeFront.close()
+		}
+	}
 	for _, server := range s.servers {
 		server.close()
 	}
@@ -155,16 +165,26 @@
 	return at
 }
 
+// Ports below the range from which connections take theirs.
+const firstPort, lastPort = 12000, 30000
+
 // freePorts returns ports that nothing listens on.
 func freePorts(n int) ([]int, error) {
-	ports := make([]int, n)
-	for i := range ports {
-		listener, err := net.Listen("tcp", ip+":0")
+	ports := make([]int, 0, n)
+	next := firstPort + rand.IntN(lastPort-firstPort)
+	for tries := 0; len(ports) < n && tries < lastPort-firstPort; tries++ {
+		if next++; next >= lastPort {
+			next = firstPort
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, next))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
+		ports = append(ports, next)
+	}
+	if len(ports) < n {
+		return nil, errors.New("too few free ports")
 	}
 	return ports, nil
 }
@@ -191,6 +211,13 @@
 	for i, zone := range zones {
 		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, front: address(i, 0), ready: address(i, 1), directory: address(i, 2)}
 		metrics := ports[i*portsPerHost+4]
+		storeAddress := s.store.Address()
+		if s.separateStore {
+			if h.storeFront, err = startStoreFront(s.store); err != nil {
+				return err
+			}
+			storeAddress = h.storeFront.listener.Addr().String()
+		}
 		h.settings = filepath.Join(s.dir, h.name+".conf")
 		text := fmt.Sprintf(`NodeName=%s
 Role=entry
@@ -222,7 +249,7 @@
 Bounds.BudgetSlack=54
 platform.Address=%s
 platform.form=objects
-`, h.name, ip, zone, places, h.front, h.ready, address(i, 3), h.directory, metrics, metrics, seeds, cpuShare, memoryMb, s.store.Address())
+`, h.name, ip, zone, places, h.front, h.ready, address(i, 3), h.directory, metrics, metrics, seeds, cpuShare, memoryMb, storeAddress)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
