--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -23,6 +23,7 @@
 	"config-hang":       playConfigHang,
 	"removed-service":   playRemovedService,
 	"rejected-watchers": playRejectedWatchers,
+	"killed-home":       playKilledHome,
 }
 
 func main() {
