--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
 [ -x "$driver" ] && [ -x "$binary" ] || { echo "build first: deploy/system.toml, then review/build-2.sh" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec "$driver" -case removed-service -binary "$binary" -record record.txt -trouble="$trouble" -seed "${SEED:-1}"
+exec "$driver" -case rejected-watchers -binary "$binary" -record record.txt -trouble="$trouble" -seed "${SEED:-1}"
--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays case 7; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# Plays case 8; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 # could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 driver=../../target/review/driver2
