--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -24,6 +24,7 @@
 	"removed-service":   playRemovedService,
 	"rejected-watchers": playRejectedWatchers,
 	"killed-home":       playKilledHome,
+	"cut-watches":       playCutWatches,
 }
 
 func main() {
--- a/review/driver2/storefront.go
+++ b/review/driver2/storefront.go
@@ -21,6 +21,7 @@
 	rejects  int // status of all calls; 0 if they are served
 	rejected chan struct{}
 	calls    []time.Time
+	cutAfter time.Duration // how long a watch may wait; 0: as long as it asks for
 }
 
 func startStoreFront(store *standin.Store) (*storeFront, error) {
@@ -47,6 +48,13 @@
 	}
 }
 
+// cutWatches closes the connection of each watch that has waited for so long.
+func (f *storeFront) cutWatches(after time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutAfter = after
+}
+
 // callsSince returns the number of calls since a time.
 func (f *storeFront) callsSince(since time.Time) (n int) {
 	f.mu.Lock()
@@ -63,7 +71,7 @@
 func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	f.calls = append(f.calls, time.Now())
-	status, rejected := f.rejects, f.rejected
+	status, rejected, cutAfter := f.rejects, f.rejected, f.cutAfter
 	f.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -71,6 +79,10 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
+	if cutAfter > 0 && r.URL.Query().Has("Watch") {
+		timer := time.AfterFunc(cutAfter, cancel)
+		defer timer.Stop()
+	}
 	served := make(chan struct{})
 	defer close(served)
 	go func() {
