--- a/review/driver2/case_cut_watches.go
+++ b/review/driver2/case_cut_watches.go
@@ -9,18 +9,18 @@
 const (
 	// watchCut is how long a watch waits until the store cuts it off.
 	watchCut = 300 * time.Millisecond
-	removals = 6
+	removals = 8
 	// removalGap is the time between two removals. A server serves on for all of it.
-	removalGap = 11 * time.Second
+	removalGap = 9500 * time.Millisecond
 	// replacementGap is how long after it another server takes its place.
-	replacementGap = 4 * time.Second
+	replacementGap = 3500 * time.Millisecond
 )
 
 // playCutWatches removes the entries of servers that never report draining, while the store cuts off
 // watches that wait.
 func playCutWatches(s *system, trouble bool) (broken bool, err error) {
 	zones := []string{"zone-a", "zone-b"}
-	work := func(rnd *rand.Rand) time.Duration { return time.Duration(5+rnd.IntN(10)) * time.Millisecond }
+	work := func(rnd *rand.Rand) time.Duration { return time.Duration(20+rnd.IntN(40)) * time.Millisecond }
 	added := 0
 	add := func() (*server, error) {
 		added++
@@ -52,7 +52,7 @@
 	c := newCallers(s)
 	stop := make(chan struct{})
 	for i, h := range s.hosts {
-		c.runArrivals(stop, rand.New(rand.NewPCG(s.seed, uint64(5000+i))), 40, func(*rand.Rand) { c.send(h, "/desk/", 2*time.Second) })
+		c.runArrivals(stop, rand.New(rand.NewPCG(s.seed, uint64(5000+i))), 100, func(*rand.Rand) { c.send(h, "/desk/", 2*time.Second) })
 	}
 	removed := make(map[*server]time.Time)
 	for range removals {
