--- a/exchange/client.go
+++ b/exchange/client.go
@@ -179,19 +179,27 @@
 
 // assign puts a leg that waited for the dial on the link, or ends it.
 func (w *waitingLeg) assign(l *link) {
+	if w.putOn(l) {
+		return
+	}
+	w.done(leg.Failed(w.request, result.HomeUnavailable, result.OutcomeUnsent, "the home can't be reached"))
+}
+
+// putOn reports whether the leg needs no further result: it is on the link, or was cancelled.
+func (w *waitingLeg) putOn(l *link) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.aborted {
-		return
+		return true
 	}
 	if l != nil {
 		if id, ok := l.add(w.request, w.done); ok {
 			w.cancel = func() { l.cancelLeg(id) }
-			return
+			return true
 		}
 	}
 	w.aborted = true
-	w.done(leg.Failed(w.request, result.HomeUnavailable, result.OutcomeUnsent, "the home can't be reached"))
+	return false
 }
 
 func (r *peerRunner) dial() (*link, context.Context, error) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -136,3 +136,22 @@
 	is.Equal(r.Code, result.HomeUnavailable)
 	is.Equal(r.Outcome, result.OutcomeUnsent)
 }
+
+// Guards against a host that hangs when a peer can't be reached: a query that ends with this leg
+// cancels all its legs, this one too.
+func TestResultOfAnUnreachablePeerMayCancelItsLeg(t *testing.T) {
+	client := newTestClient(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	_ = listener.Close()
+	cancels, ended := make(chan func(), 1), make(chan struct{})
+	cancels <- client.To(listener.Addr().String()).Run(leg.Request{Request: ident.NewRequestID()}, func(leg.Result) {
+		(<-cancels)()
+		close(ended)
+	})
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the leg's result hangs")
+	}
+}
--- a/exchange/reply_batcher.go
+++ b/exchange/reply_batcher.go
@@ -52,53 +52,77 @@
 
 // end adds a leg's reply.
 func (b *replyBatcher) end(id uint64, reply item) {
+	b.sendAll(b.add(id, reply))
+}
+
+// add adds a reply and returns what is to be sent now.
+func (b *replyBatcher) add(id uint64, reply item) []item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, open := b.open[id]; !open {
-		return // cancelled
+		return nil // cancelled
 	}
 	delete(b.open, id)
 	b.held = append(b.held, reply)
-	if len(b.open) == 0 || !b.now().Before(b.due) {
-		b.flush()
+	if len(b.open) > 0 && b.now().Before(b.due) {
+		return nil
 	}
+	return b.takeHeld()
 }
 
 // drop removes a leg that its sender has cancelled.
 func (b *replyBatcher) drop(id uint64) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	delete(b.open, id)
+	var replies []item
 	if len(b.open) == 0 {
-		b.flush()
+		replies = b.takeHeld()
 	}
+	b.mu.Unlock()
+	b.sendAll(replies)
 }
 
-// flush sends the held replies; the lock is held.
-func (b *replyBatcher) flush() {
-	if len(b.held) > 0 {
-		b.send(b.held)
-		b.held = nil
+// takeHeld returns the held replies; mu is held.
+func (b *replyBatcher) takeHeld() []item {
+	replies := b.held
+	b.held = nil
+	return replies
+}
+
+// sendAll sends messages; mu is not held.
+func (b *replyBatcher) sendAll(messages []item) {
+	if len(messages) > 0 {
+		b.send(messages)
 	}
 }
 
-// onDue runs when the legs are due, and periodically after that while some are open.
+// onDue runs when the legs are due, and periodically after that while some are open. It asks
+// for unresponsive services without the mutex, since the answer comes from the homes, and these
+// end legs.
 func (b *replyBatcher) onDue() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.flush()
-	if b.closed {
+	messages, closed := b.takeHeld(), b.closed
+	services := make(map[string]bool)
+	for _, service := range b.open {
+		services[service] = true
+	}
+	b.mu.Unlock()
+	b.sendAll(messages)
+	if closed {
 		return
 	}
-	reported := make(map[string]bool)
-	for _, service := range b.open {
-		if !reported[service] && b.unresponsive(service) {
-			reported[service] = true
-			b.held = append(b.held, item{unresponsive: service})
+	var unresponsive []item
+	for service := range services {
+		if b.unresponsive(service) {
+			unresponsive = append(unresponsive, item{unresponsive: service})
 		}
 	}
-	b.flush()
-	b.timer.Reset(unresponsiveCheckInterval)
+	b.sendAll(unresponsive)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.closed {
+		b.timer.Reset(unresponsiveCheckInterval)
+	}
 }
 
 // close stops the timer once the sender has ended the head.
--- a/exchange/reply_batcher_test.go
+++ b/exchange/reply_batcher_test.go
@@ -100,3 +100,23 @@
 		is.Equal((*sent)[0], []item{replyTo(0)})
 	})
 }
+
+// Guards against a batcher that hangs: the functions that it calls end other legs of the same
+// search, which come back to it.
+func TestBatcherCallsOutWithoutItsMutex(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var b *replyBatcher
+		sent := 0
+		end := func() { b.end(1, replyTo(1)) }
+		b = newReplyBatcher(func([]item) { sent++; end() }, func(string) bool { end(); return false }, time.Now, time.Now().Add(50*time.Millisecond))
+		defer b.close()
+		b.begin(0, "s")
+		b.begin(1, "s")
+		b.begin(2, "t")
+		b.end(0, replyTo(0))
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(sent, 2)
+	})
+}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -3,6 +3,7 @@
 package homeserver
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,16 +45,29 @@
 	override      ConfigOverride
 	onChange      func(service string, change home.ServerChange)
 
+	// mu guards services and the replacement of desired. No decision of a home, callback or
+	// result of a leg runs under it, since these may call the server.
 	mu           sync.RWMutex
 	services     map[string]*service
-	known        map[string][]KnownServer // by service, including those without a home yet
-	config       *bundle.Config
-	nextHome     uint64
+	desired      atomic.Pointer[desiredState]
+	nextHome     atomic.Uint64
 	nextLeg      atomic.Uint64
 	latencyStats *home.LatencyStats
 	workers      *workerPool
 }
 
+// desiredState is what all homes follow. It is immutable and replaced as a whole. Homes take it
+// over one by one, in any order and from several goroutines; the version keeps a home from going
+// back to an older state.
+type desiredState struct {
+	version uint64
+	config  *bundle.Config // nil before the first one
+	// configVersion is the version with which the configuration or the limits of the
+	// ConfigOverride last changed.
+	configVersion uint64
+	servers       map[string][]KnownServer // by service, including those without a home yet
+}
+
 // KnownServer is a backend server with its current state.
 type KnownServer struct {
 	Server   backend.Server
@@ -75,17 +89,18 @@
 // New returns a server without homes; they are created with their first leg. currentConfig
 // returns the current configuration, or nil if there is none yet.
 func New(runner backend.Runner, counter Counter, observer AttemptObserver, now func() time.Time, currentConfig func() *bundle.Config) *Server {
-	return &Server{
+	s := &Server{
 		runner:        runner,
 		counter:       counter,
 		observer:      observer,
 		now:           now,
 		currentConfig: currentConfig,
 		services:      make(map[string]*service),
-		known:         make(map[string][]KnownServer),
 		latencyStats:  home.NewLatencyStats(),
 		workers:       newWorkers(),
 	}
+	s.desired.Store(&desiredState{})
+	return s
 }
 
 // SetConfigOverride sets the function that adjusts the limits of each home. It must be
@@ -107,57 +122,76 @@
 // Refresh applies the current configuration to the homes. New legs do so by themselves;
 // legs that already wait need the call.
 func (s *Server) Refresh() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refresh()
+	s.publish(func(*desiredState) {})
 }
 
 // ReapplyConfig applies the current result of the ConfigOverride to the homes.
 func (s *Server) ReapplyConfig() {
+	s.publish(func(next *desiredState) { next.configVersion = next.version })
+}
+
+// SetServers replaces the backend servers of all services.
+func (s *Server) SetServers(known map[string][]KnownServer) {
+	s.publish(func(next *desiredState) { next.servers = known })
+}
+
+// publish replaces the desired state and lets all homes follow it.
+func (s *Server) publish(change func(next *desiredState)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.config != nil {
-		s.reconfigure(s.config)
+	next := s.replaceDesired(change)
+	s.dropUnconfigured(next)
+	services := slices.Collect(maps.Values(s.services))
+	s.mu.Unlock()
+	for _, svc := range services {
+		svc.follow(next)
 	}
 }
 
-// refresh applies the current configuration, which it reads under s.mu: one that was read before
-// may be older than the one that is applied.
-func (s *Server) refresh() {
-	config := s.currentConfig()
-	if config == s.config || config == nil {
-		return
+// replaceDesired replaces the desired state by one with the change and the current configuration;
+// mu is held. The configuration is read here because one that was read before may be older than
+// the one in the desired state.
+func (s *Server) replaceDesired(change func(next *desiredState)) *desiredState {
+	next := *s.desired.Load()
+	next.version++
+	if config := s.currentConfig(); config != nil && config != next.config {
+		next.config, next.configVersion = config, next.version
 	}
-	s.config = config
-	s.reconfigure(config)
+	change(&next)
+	s.desired.Store(&next)
+	return &next
 }
 
-func (s *Server) reconfigure(config *bundle.Config) {
-	for name, svc := range s.services {
-		spec, ok := config.Service(name)
-		if !ok {
-			// Legs that were submitted before are still completed.
+// dropUnconfigured drops the homes whose services aren't configured any more; mu is held. Legs that
+// were submitted before are still completed.
+func (s *Server) dropUnconfigured(desired *desiredState) {
+	for name := range s.services {
+		if !desired.hasService(name) {
 			delete(s.services, name)
-			continue
 		}
-		svc.reconfigure(s.homeConfig(config, spec))
 	}
 }
 
-// SetServers replaces the backend servers of all services.
-func (s *Server) SetServers(known map[string][]KnownServer) {
-	s.mu.Lock()
-	changed := make([]*service, 0, len(s.services))
-	for name, svc := range s.services {
-		if !slices.Equal(known[name], s.known[name]) {
-			changed = append(changed, svc)
-		}
+// hasService reports whether the service is configured.
+func (d *desiredState) hasService(name string) bool {
+	if d.config == nil {
+		return false
 	}
-	s.known = known
-	s.mu.Unlock()
-	for _, svc := range changed {
-		svc.setServers(known[svc.name])
+	_, ok := d.config.Service(name)
+	return ok
+}
+
+// currentDesired returns the desired state with the current configuration. Homes that it is new to
+// follow it with their next leg or the next call of Refresh.
+func (s *Server) currentDesired() *desiredState {
+	if desired := s.desired.Load(); desired.config == s.currentConfig() {
+		return desired
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if desired := s.desired.Load(); desired.config == s.currentConfig() {
+		return desired
 	}
+	return s.replaceDesired(func(*desiredState) {})
 }
 
 // Run runs a leg at this host's home of its service; see leg.Runner.
@@ -178,26 +212,34 @@
 	return func() { svc.cancel(id) }
 }
 
+// homeFor returns the home of the request's service, which follows the current configuration, or
+// the result of a leg that can't run.
 func (s *Server) homeFor(request leg.Request) (*service, *leg.Result) {
-	config := s.currentConfig()
-	if config == nil {
+	desired := s.currentDesired()
+	if desired.config == nil {
 		return nil, refusal(request, result.NotReady, "no configuration yet")
 	}
-	if _, _, ok := config.Class(request.Class); !ok {
+	if _, _, ok := desired.config.Class(request.Class); !ok {
 		return nil, refusal(request, result.BadRequest, "unknown class "+request.Class)
 	}
-	s.mu.RLock()
-	svc, current := s.services[request.Service], s.config
-	s.mu.RUnlock()
-	if svc == nil || current != config {
-		svc = s.openHome(request.Service)
+	if !desired.hasService(request.Service) {
+		return nil, refusal(request, result.NoBackend, "unknown service "+request.Service)
 	}
+	svc := s.find(request.Service)
 	if svc == nil {
-		return nil, refusal(request, result.NoBackend, "unknown service "+request.Service)
+		svc = s.openHome(request.Service, desired)
 	}
+	svc.follow(desired)
 	return svc, nil
 }
 
+// find returns the service's home, or nil.
+func (s *Server) find(name string) *service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.services[name]
+}
+
 func refusal(request leg.Request, code result.Code, detail string) *leg.Result {
 	r := leg.Failed(request, code, result.OutcomeUnsent, detail)
 	return &r
@@ -207,26 +249,22 @@
 // host.
 const attemptIDsPerHome = 1 << 40
 
-func (s *Server) openHome(name string) *service {
+// openHome returns the service's home and creates it if there is none.
+func (s *Server) openHome(name string, desired *desiredState) *service {
+	attemptIDBase := ident.AttemptID(s.nextHome.Add(1) * attemptIDsPerHome)
+	opened := newService(s, name, home.New(s.homeConfig(desired.config, name), attemptIDBase), desired)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh()
 	if svc := s.services[name]; svc != nil {
 		return svc
 	}
-	spec, ok := s.config.Service(name)
-	if !ok {
-		return nil
-	}
-	s.nextHome++
-	attemptIDBase := ident.AttemptID(s.nextHome * attemptIDsPerHome)
-	svc := newService(s, name, home.New(s.homeConfig(s.config, spec), attemptIDBase))
-	s.services[name] = svc
-	svc.setServers(s.known[name])
-	return svc
+	s.services[name] = opened
+	return opened
 }
 
-func (s *Server) homeConfig(config *bundle.Config, spec bundle.Service) home.Config {
+// homeConfig returns the limits of the service's home. The service must be configured.
+func (s *Server) homeConfig(config *bundle.Config, name string) home.Config {
+	spec, _ := config.Service(name)
 	classes := make([]home.ClassSpec, len(config.Classes))
 	for i, class := range config.Classes {
 		classes[i] = home.ClassSpec{Name: class.Name, ReservedShare: class.ReservedShare, MaxQueue: class.MaxQueue}
@@ -249,9 +287,7 @@
 // Forecast returns the forecast for a leg of the class at the service. It is zero if
 // this host has no home of the service.
 func (s *Server) Forecast(service, class string) leg.Forecast {
-	s.mu.RLock()
-	svc, config := s.services[service], s.config
-	s.mu.RUnlock()
+	svc, config := s.find(service), s.desired.Load().config
 	if svc == nil || config == nil {
 		return leg.Forecast{}
 	}
@@ -264,10 +300,8 @@
 // ServerInZone returns the name of the service's first server by name in the
 // availability zone, or an empty string if none is in service there.
 func (s *Server) ServerInZone(service, zone string) string {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
 	first := ""
-	for _, k := range s.known[service] {
+	for _, k := range s.desired.Load().servers[service] {
 		if k.Server.Zone == zone && !k.Leaving && (first == "" || k.Server.Name < first) {
 			first = k.Server.Name
 		}
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goldcrestspan/goldcrestspan/backend"
@@ -17,6 +19,8 @@
 type service struct {
 	server *Server
 	name   string
+	// followed is the desired state that the home has taken over; replaced under mu.
+	followed atomic.Pointer[desiredState]
 
 	mu       sync.Mutex
 	home     *home.Home
@@ -48,22 +52,70 @@
 	end    backend.CallResult
 }
 
-// completion is a leg's result that is delivered after the mutex is released, so that done
-// may call back into the server.
+// effects are the effects of a decision on others. They are carried out after the mutex is
+// released, since callbacks may call the server.
+type effects struct {
+	starts      []*attemptStart
+	completions []completion
+	changes     []home.ServerChange
+}
+
+// attemptStart is an attempt to send.
+type attemptStart struct {
+	ctx         context.Context
+	server      backend.Server
+	fingerprint uint64
+	hedge       bool
+	retry       bool
+	call        backend.Call
+}
+
+// completion is a leg's result to deliver.
 type completion struct {
 	done   func(leg.Result)
 	result leg.Result
 }
 
-func newService(server *Server, name string, h *home.Home) *service {
-	return &service{
+// newService returns the service of a new home, which follows the desired state.
+func newService(server *Server, name string, h *home.Home, desired *desiredState) *service {
+	s := &service{
 		server:   server,
 		name:     name,
 		home:     h,
 		legs:     make(map[home.LegID]*openLeg),
 		attempts: make(map[ident.AttemptID]*openAttempt),
-		servers:  make(map[string]backend.Server),
 	}
+	s.acts = s.setServers(server.now(), desired.servers[name], nil)
+	s.followed.Store(desired)
+	return s
+}
+
+// follow takes over the desired state unless the home already follows a newer one.
+func (s *service) follow(desired *desiredState) {
+	followed := s.followed.Load()
+	if followed.version >= desired.version {
+		return
+	}
+	var limits *home.Config
+	if desired.configVersion != followed.configVersion && desired.hasService(s.name) {
+		config := s.server.homeConfig(desired.config, s.name)
+		limits = &config
+	}
+	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		followed := s.followed.Load()
+		if followed.version >= desired.version {
+			return acts
+		}
+		s.followed.Store(desired)
+		// The servers go first, so that no attempt starts at one that has left.
+		if known := desired.servers[s.name]; !slices.Equal(known, followed.servers[s.name]) {
+			acts = s.setServers(now, known, acts)
+		}
+		if limits != nil && desired.configVersion != followed.configVersion {
+			acts = s.home.Reconfigure(now, *limits, acts)
+		}
+		return acts
+	})
 }
 
 func (s *service) submit(id home.LegID, request leg.Request, done func(leg.Result)) {
@@ -112,26 +164,24 @@
 	cancelled.done(leg.Failed(cancelled.request, result.Cancelled, outcome, "cancelled"))
 }
 
-func (s *service) setServers(known []KnownServer) {
-	s.decide(func(now time.Time, acts []home.Action) []home.Action {
-		specs := make([]home.ServerSpec, len(known))
-		servers := make(map[string]backend.Server, len(known))
-		for i, k := range known {
-			servers[k.Server.Name] = k.Server
-			specs[i] = home.ServerSpec{
-				Name:        k.Server.Name,
-				Incarnation: k.Server.Incarnation,
-				SameZone:    k.SameZone,
-				Leaving:     k.Leaving,
-				Slots:       k.Slots,
-				Region:      k.Region,
-				ColdUntil:   k.ColdUntil,
-				Warmup:      k.Warmup,
-			}
+func (s *service) setServers(now time.Time, known []KnownServer, acts []home.Action) []home.Action {
+	specs := make([]home.ServerSpec, len(known))
+	servers := make(map[string]backend.Server, len(known))
+	for i, k := range known {
+		servers[k.Server.Name] = k.Server
+		specs[i] = home.ServerSpec{
+			Name:        k.Server.Name,
+			Incarnation: k.Server.Incarnation,
+			SameZone:    k.SameZone,
+			Leaving:     k.Leaving,
+			Slots:       k.Slots,
+			Region:      k.Region,
+			ColdUntil:   k.ColdUntil,
+			Warmup:      k.Warmup,
 		}
-		s.servers = servers
-		return s.home.SetServers(now, specs, acts)
-	})
+	}
+	s.servers = servers
+	return s.home.SetServers(now, specs, acts)
 }
 
 func (s *service) tick() {
@@ -141,50 +191,54 @@
 	})
 }
 
-// decide makes one decision and carries out its actions, then delivers results and state
-// changes without the mutex.
+// decide makes one decision under the mutex, and carries out its effects without it.
 func (s *service) decide(decision func(time.Time, []home.Action) []home.Action) {
-	completions, changes := s.decideLocked(decision)
-	for _, change := range changes {
+	effects := s.decideLocked(decision)
+	for _, start := range effects.starts {
+		s.server.counter.Attempt(s.name, start.hedge, start.retry)
+		s.server.observer.Started(start.call.Attempt, start.server, start.fingerprint)
+		s.server.workers.start(func() { s.run(start.ctx, start.server, start.fingerprint, start.call) })
+	}
+	for _, change := range effects.changes {
 		s.server.notify(s.name, change)
 	}
-	for _, e := range completions {
+	for _, e := range effects.completions {
 		e.done(e.result)
 	}
 }
 
-// decideLocked makes one decision under the mutex and carries out its actions. A panic, which
+// decideLocked makes one decision under the mutex and returns its effects. A panic, which
 // net/http recovers, releases the mutex.
-func (s *service) decideLocked(decision func(time.Time, []home.Action) []home.Action) ([]completion, []home.ServerChange) {
+func (s *service) decideLocked(decision func(time.Time, []home.Action) []home.Action) effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acts = decision(s.server.now(), s.acts[:0])
-	completions := s.apply(s.acts)
-	changes := s.home.DrainChanges()
+	effects := s.apply(s.acts)
+	effects.changes = s.home.DrainChanges()
 	s.setTimer()
-	return completions, changes
+	return effects
 }
 
-func (s *service) apply(acts []home.Action) []completion {
-	var completions []completion
+func (s *service) apply(acts []home.Action) (e effects) {
 	for _, act := range acts {
 		switch act.Kind {
 		case home.ActionStart:
-			s.start(act)
+			e.starts = append(e.starts, s.start(act))
 		case home.ActionCancel:
 			if a := s.attempts[act.Attempt]; a != nil {
 				a.cancel()
 			}
 		case home.ActionAnswer, home.ActionFail:
-			if e, ok := s.complete(act); ok {
-				completions = append(completions, e)
+			if c, ok := s.complete(act); ok {
+				e.completions = append(e.completions, c)
 			}
 		}
 	}
-	return completions
+	return e
 }
 
-func (s *service) start(act home.Action) {
+// start registers an attempt.
+func (s *service) start(act home.Action) *attemptStart {
 	l := s.legs[act.Leg]
 	if l.attempts == 0 {
 		l.queueTime = s.server.now().Sub(l.submittedAt)
@@ -193,26 +247,25 @@
 	if act.Hedge {
 		l.hedges++
 	}
-	s.server.counter.Attempt(s.name, act.Hedge, act.Retry)
 	// The attempt must not end with the context of the goroutine that submitted the leg.
 	ctx, cancel := context.WithDeadline(context.Background(), l.request.Deadline)
 	s.attempts[act.Attempt] = &openAttempt{leg: act.Leg, cancel: cancel}
-	call := backend.Call{
-		Request:    l.request.Request,
-		Attempt:    act.Attempt,
-		Service:    s.name,
-		Index:      l.request.Index,
-		Shard:      l.request.Shard,
-		Snapshot:   l.request.Snapshot,
-		Class:      l.request.Class,
-		Deadline:   l.request.Deadline,
-		Idempotent: l.request.Idempotent,
-		Body:       l.request.Body,
-		Forward:    l.request.Forward,
+	return &attemptStart{
+		ctx: ctx, server: s.servers[act.Server], fingerprint: l.request.Fingerprint, hedge: act.Hedge, retry: act.Retry,
+		call: backend.Call{
+			Request:    l.request.Request,
+			Attempt:    act.Attempt,
+			Service:    s.name,
+			Index:      l.request.Index,
+			Shard:      l.request.Shard,
+			Snapshot:   l.request.Snapshot,
+			Class:      l.request.Class,
+			Deadline:   l.request.Deadline,
+			Idempotent: l.request.Idempotent,
+			Body:       l.request.Body,
+			Forward:    l.request.Forward,
+		},
 	}
-	s.server.observer.Started(act.Attempt, s.servers[act.Server], l.request.Fingerprint)
-	server, fingerprint := s.servers[act.Server], l.request.Fingerprint
-	s.server.workers.start(func() { s.run(ctx, server, fingerprint, call) })
 }
 
 func (s *service) run(ctx context.Context, server backend.Server, fingerprint uint64, call backend.Call) {
@@ -288,12 +341,6 @@
 	s.timer.Reset(wait)
 }
 
-func (s *service) reconfigure(config home.Config) {
-	s.decide(func(now time.Time, acts []home.Action) []home.Action {
-		return s.home.Reconfigure(now, config, acts)
-	})
-}
-
 func (s *service) forecast(class string) leg.Forecast {
 	s.mu.Lock()
 	defer s.mu.Unlock()
