--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -139,7 +139,7 @@
 func (s *Server) publish(change func(next *desiredState)) {
 	s.mu.Lock()
 	next := s.replaceDesired(change)
-	s.dropUnconfigured(next)
+	s.closeUnused(next)
 	services := slices.Collect(maps.Values(s.services))
 	s.mu.Unlock()
 	for _, svc := range services {
@@ -161,11 +161,12 @@
 	return &next
 }
 
-// dropUnconfigured drops the homes whose services aren't configured any more; mu is held. Legs that
-// were submitted before are still completed.
-func (s *Server) dropUnconfigured(desired *desiredState) {
-	for name := range s.services {
-		if !desired.hasService(name) {
+// closeUnused closes the homes without legs whose services aren't configured any more; mu is held.
+// Homes that still have legs go on following the servers, so that no leg that waits is sent to a
+// server that has left.
+func (s *Server) closeUnused(desired *desiredState) {
+	for name, svc := range s.services {
+		if !desired.hasService(name) && svc.closeIfUnused() {
 			delete(s.services, name)
 		}
 	}
@@ -208,7 +209,13 @@
 		return func() {}
 	}
 	id := home.LegID(s.nextLeg.Add(1))
-	svc.submit(id, request, done)
+	for !svc.submit(id, request, done) {
+		// The service has left the configuration in the meantime.
+		if svc, failure = s.homeFor(request); failure != nil {
+			done(*failure)
+			return func() {}
+		}
+	}
 	return func() { svc.cancel(id) }
 }
 
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -23,6 +23,7 @@
 	followed atomic.Pointer[desiredState]
 
 	mu       sync.Mutex
+	closed   bool // takes no more legs
 	home     *home.Home
 	acts     []home.Action // reused between decisions
 	legs     map[home.LegID]*openLeg
@@ -118,8 +119,21 @@
 	})
 }
 
-func (s *service) submit(id home.LegID, request leg.Request, done func(leg.Result)) {
+// closeIfUnused closes the home if it has no legs and no attempts, and reports whether it did.
+func (s *service) closeIfUnused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = len(s.legs) == 0 && len(s.attempts) == 0
+	return s.closed
+}
+
+// submit hands a leg to the home; false if the home is closed and the leg was not taken.
+func (s *service) submit(id home.LegID, request leg.Request, done func(leg.Result)) (taken bool) {
 	s.decide(func(now time.Time, acts []home.Action) []home.Action {
+		if s.closed {
+			return acts
+		}
+		taken = true
 		s.legs[id] = &openLeg{request: request, done: done, submittedAt: now, queueTime: leg.UnknownQueueTime}
 		return s.home.Submit(now, home.Leg{
 			ID:           id,
@@ -138,6 +152,7 @@
 			Forwarded:    request.Forward != nil,
 		}, acts)
 	})
+	return taken
 }
 
 // regionsOf returns the regions whose servers may run the request; empty means any.
