--- a/exchange/server.go
+++ b/exchange/server.go
@@ -20,11 +20,14 @@
 	// Forecast predicts how a leg would fare at a home on this host; set it before the first stream.
 	// It is sent with each reply to a search's leg.
 	Forecast func(service, class string) leg.Forecast
+	// PreferredServer returns the server that the service's home on this host prefers to the reserved
+	// one; empty if none. Set it before the first stream.
+	PreferredServer func(service, class, reserved string) string
 }
 
 // NewServer returns the receiving side of the exchange.
 func NewServer(runner leg.Runner, now func() time.Time) *Server {
-	return &Server{runner: runner, now: now, Forecast: func(string, string) leg.Forecast { return leg.Forecast{} }}
+	return &Server{runner: runner, now: now, Forecast: func(string, string) leg.Forecast { return leg.Forecast{} }, PreferredServer: func(string, string, string) string { return "" }}
 }
 
 // Register adds the exchange to the services for peers.
@@ -127,6 +130,7 @@
 		in.mu.Unlock()
 		if batcher != nil {
 			forecast := in.server.Forecast(request.Service, request.Class)
+			forecast.PreferredServer = in.server.PreferredServer(request.Service, request.Class, request.ReservedServer)
 			batcher.end(id, item{reply: encodeSharedReply(id, r, forecast)})
 			return
 		}
@@ -155,6 +159,7 @@
 	request := head.template
 	request.Service, request.Shard = m.GetService(), snapshot.ShardID(m.GetShard())
 	request.Body, request.FullAnswer, request.Optional = m.GetBody(), m.GetRest(), m.GetOptional()
+	request.ReservedServer = m.GetReserved()
 	return request, head.batcher
 }
 
--- a/exchange/shared.go
+++ b/exchange/shared.go
@@ -52,6 +52,7 @@
 func encodeShared(id uint64, head uint32, r leg.Request) *exchangepb.LegRequest {
 	return &exchangepb.LegRequest{
 		Leg: id, Head: head, Service: r.Service, Shard: uint32(r.Shard), Body: r.Body, Rest: r.FullAnswer, Optional: r.Optional,
+		Reserved: r.ReservedServer,
 	}
 }
 
@@ -69,7 +70,9 @@
 		RetryAfterNs: int64(r.RetryAfter),
 		WaitNs:       int64(r.QueueTime),
 		Cut:          r.Truncated,
-		Forecast:     &exchangepb.Forecast{WaitUs: forecast.QueueTime.Microseconds(), RunUs: forecast.ServiceTime.Microseconds()},
+		Forecast: &exchangepb.Forecast{
+			WaitUs: forecast.QueueTime.Microseconds(), RunUs: forecast.ServiceTime.Microseconds(), Preferred: forecast.PreferredServer,
+		},
 	}
 	if r.Reply != nil {
 		m.Signature = r.Reply.Signature
@@ -89,6 +92,8 @@
 		r.Forecast = &leg.Forecast{
 			QueueTime:   time.Duration(f.GetWaitUs()) * time.Microsecond,
 			ServiceTime: time.Duration(f.GetRunUs()) * time.Microsecond,
+
+			PreferredServer: f.GetPreferred(),
 		}
 	}
 	return r
--- a/gateway/components.go
+++ b/gateway/components.go
@@ -105,6 +105,7 @@
 	}
 	exchangeServer := exchange.NewServer(peerLegRunner{proxy: g.proxyServer, homes: g.homeLegRunner}, g.options.Now)
 	exchangeServer.Forecast = g.homes.Forecast
+	exchangeServer.PreferredServer = g.homes.PreferredServer
 	if err := exchangeServer.Register(g.peers.Mux()); err != nil {
 		return err
 	}
--- a/gateway/remote_forecasts.go
+++ b/gateway/remote_forecasts.go
@@ -19,6 +19,7 @@
 	mu             sync.Mutex
 	reported       map[forecastKey]reported
 	unresponsiveAt map[string]time.Time // when a service was last reported unresponsive
+	preferred      map[string]string    // by service: the server that its home prefers, if not the usual one
 }
 
 type forecastKey struct{ service, class string }
@@ -29,7 +30,7 @@
 }
 
 func newRemoteForecasts(now func() time.Time) *remoteForecasts {
-	return &remoteForecasts{now: now, reported: make(map[forecastKey]reported), unresponsiveAt: make(map[string]time.Time)}
+	return &remoteForecasts{now: now, reported: make(map[forecastKey]reported), unresponsiveAt: make(map[string]time.Time), preferred: make(map[string]string)}
 }
 
 func (f *remoteForecasts) record(service, class string, forecast leg.Forecast) {
@@ -39,6 +40,27 @@
 	delete(f.unresponsiveAt, service)
 }
 
+// recordPreferred records which server the home of the service prefers to the one that was reserved
+// for a leg; empty if it prefers none.
+func (f *remoteForecasts) recordPreferred(service, reserved, preferred string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case preferred != "":
+		f.preferred[service] = preferred
+	case f.preferred[service] != reserved:
+		delete(f.preferred, service)
+	}
+}
+
+// preferredServer returns the server that the home of the service prefers; empty if it is the usual
+// one.
+func (f *remoteForecasts) preferredServer(service string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.preferred[service]
+}
+
 func (f *remoteForecasts) recordUnresponsive(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -71,6 +93,11 @@
 			delete(f.reported, key)
 		}
 	}
+	for service := range f.preferred {
+		if !configured(service) {
+			delete(f.preferred, service)
+		}
+	}
 	for service := range f.unresponsiveAt {
 		if !configured(service) {
 			delete(f.unresponsiveAt, service)
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/goldcrestspan/goldcrestspan/eligible"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/result"
 )
@@ -186,7 +185,7 @@
 		case h.allRefusing(now):
 			code, wait = result.BackendsRefused, h.retryAfter(now, 0)
 		default:
-			return h.failOutOfRegion(now, acts)
+			return h.failRestricted(now, acts)
 		}
 	}
 	for i := range h.classes {
@@ -199,13 +198,12 @@
 	return acts
 }
 
-// failOutOfRegion fails waiting legs that are restricted to regions without a server in
-// service.
-func (h *Home) failOutOfRegion(now time.Time, acts []Action) []Action {
+// failRestricted fails waiting legs that are restricted to servers of which none is in service.
+func (h *Home) failRestricted(now time.Time, acts []Action) []Action {
 	for i := range h.classes {
 		waiting := h.classes[i].waiting.legs
 		for j := len(waiting) - 1; j >= 0; j-- {
-			if l := waiting[j]; len(l.Regions) > 0 && !h.anyInServiceFor(l) {
+			if l := waiting[j]; l.isRestricted() && !h.anyInServiceFor(l) {
 				acts = h.failLeg(l, l.failureCode(result.NoBackend), noBackendRetryAfter, acts)
 			}
 		}
@@ -215,11 +213,11 @@
 
 // anyInServiceFor reports whether any server that the leg may use is in service.
 func (h *Home) anyInServiceFor(l *leg) bool {
-	if len(l.Regions) == 0 {
+	if !l.isRestricted() {
 		return h.anyInService()
 	}
 	for _, s := range h.servers {
-		if s.inService() && eligible.InRegions(l.Regions, s.spec.Region) {
+		if s.inService() && l.mayUse(s) {
 			return true
 		}
 	}
--- a/home/forecast.go
+++ b/home/forecast.go
@@ -118,5 +118,33 @@
 	return max(c.quantiles().typical, seconds(least))
 }
 
+// PreferredServer returns the server with the shortest service time of the class if the reserved one
+// can't be used now, or is slower by more than slowServerRatio; empty otherwise. Legs for which a slow
+// server is reserved have no good server left for a second attempt.
+func (h *Home) PreferredServer(now time.Time, classIndex int, reserved string) string {
+	c := &h.classes[classIndex]
+	prior := c.meanSeconds(now)
+	best, bestSeconds, reservedSeconds := "", 0.0, 0.0
+	for _, s := range h.servers {
+		if !s.usable(now) || h.stalled(s, now) {
+			continue
+		}
+		expected := s.expectedSeconds(c.index, prior, now)
+		if s.spec.Name == reserved {
+			reservedSeconds = expected
+		}
+		if !s.spec.SameZone {
+			expected += h.cfg.CrossZonePenaltySeconds
+		}
+		if best == "" || expected < bestSeconds {
+			best, bestSeconds = s.spec.Name, expected
+		}
+	}
+	if best == reserved || (reservedSeconds > 0 && reservedSeconds <= slowServerRatio*bestSeconds) {
+		return ""
+	}
+	return best
+}
+
 // seconds converts seconds to a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/home/home.go
+++ b/home/home.go
@@ -37,6 +37,9 @@
 	Optional bool
 	// MaxServers limits the number of servers that may run the leg; 0 means no limit.
 	MaxServers int
+	// ReservedServer names a server that may run the leg for another host. If MaxServers is
+	// set, all other servers together may be one less; empty means that there is none.
+	ReservedServer string
 	// PinnedServer names the only server that may run the leg; empty means any.
 	PinnedServer string
 	// Regions are the regions whose servers may run the leg; empty means any.
--- a/home/leg.go
+++ b/home/leg.go
@@ -31,10 +31,12 @@
 	attemptCount int // attempts sent
 	unknownCount int // attempts that ended with an unknown outcome
 	possibleRuns int // ended attempts that may have run
-	orderBy      time.Time
-	hedged       bool // a hedge was sent
-	done         bool
-	ranCode      result.Code // why an attempt that ran gave no answer
+	// possibleRunsElsewhere are those of them at other servers than ReservedServer.
+	possibleRunsElsewhere int
+	orderBy               time.Time
+	hedged                bool // a hedge was sent
+	done                  bool
+	ranCode               result.Code // why an attempt that ran gave no answer
 }
 
 // attempt is an attempt that hasn't ended.
@@ -79,13 +81,38 @@
 	return l.MaxServers - l.possibleRuns - l.runningCount()
 }
 
-// excludes reports whether the leg must not go to the server: it isn't allowed to, has
-// an attempt there already, or failed there last while there are other servers.
-func (l *leg) excludes(s *server, usable int) bool {
+// mayUse reports whether the limits of the leg allow the server.
+func (l *leg) mayUse(s *server) bool {
 	if l.PinnedServer != "" && l.PinnedServer != s.spec.Name {
-		return true
+		return false
 	}
 	if !eligible.InRegions(l.Regions, s.spec.Region) {
+		return false
+	}
+	return l.MaxServers == 0 || l.ReservedServer == "" || l.ReservedServer == s.spec.Name || l.usedElsewhere() < l.MaxServers-1
+}
+
+// isRestricted reports whether some servers of the service may not run the leg.
+func (l *leg) isRestricted() bool {
+	return l.PinnedServer != "" || len(l.Regions) > 0 || (l.MaxServers > 0 && l.ReservedServer != "")
+}
+
+// usedElsewhere returns how many attempts at other servers than ReservedServer run or may have
+// run.
+func (l *leg) usedElsewhere() int {
+	used := l.possibleRunsElsewhere
+	for _, a := range l.attempts {
+		if a != nil && a.server.spec.Name != l.ReservedServer {
+			used++
+		}
+	}
+	return used
+}
+
+// excludes reports whether the leg must not go to the server: it isn't allowed to, has
+// an attempt there already, or failed there last while there are other servers.
+func (l *leg) excludes(s *server, usable int) bool {
+	if !l.mayUse(s) {
 		return true
 	}
 	for _, a := range l.attempts {
--- a/home/place.go
+++ b/home/place.go
@@ -1,10 +1,6 @@
 package home
 
-import (
-	"time"
-
-	"github.com/goldcrestspan/goldcrestspan/eligible"
-)
+import "time"
 
 const (
 	// defaultCrossZonePenaltySeconds is added to the expected finish time on a server in
@@ -60,12 +56,12 @@
 
 // usableServersFor counts the usable servers that the leg may go to.
 func (h *Home) usableServersFor(l *leg, now time.Time) int {
-	if len(l.Regions) == 0 {
+	if !l.isRestricted() {
 		return h.usableCount
 	}
 	usable := 0
 	for _, s := range h.servers {
-		if s.usable(now) && eligible.InRegions(l.Regions, s.spec.Region) {
+		if s.usable(now) && l.mayUse(s) {
 			usable++
 		}
 	}
--- a/home/retry.go
+++ b/home/retry.go
@@ -32,6 +32,9 @@
 	l.recordOutcome(end.Outcome)
 	if !end.Outcome.NotRun() {
 		l.possibleRuns++
+		if a.server.spec.Name != l.ReservedServer {
+			l.possibleRunsElsewhere++
+		}
 	}
 	h.recordFailure(l, end)
 	if l.runningCount() > 0 {
--- a/home_resolver.go
+++ b/home_resolver.go
@@ -33,6 +33,10 @@
 	return h.cache.Homes(h.view(), *h.services.Load()).Lookup(service)
 }
 
+// Reserve implements scatter.Homes. Queries have no limit on the servers of a leg, so that a leg
+// of a lost home may go to any of them.
+func (h *homeResolver) Reserve(string, ident.HostID) string { return "" }
+
 // Runner implements scatter.Homes.
 func (h *homeResolver) Runner(host ident.HostID) (leg.Runner, bool) {
 	view := h.view()
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -304,16 +304,46 @@
 	return svc.forecast(class)
 }
 
-// ServerInZone returns the name of the service's first server by name in the
-// availability zone, or an empty string if none is in service there.
-func (s *Server) ServerInZone(service, zone string) string {
-	first := ""
+// PreferredServer returns the server that the home of the service on this host prefers for legs of
+// the class to the reserved one; empty if it prefers none.
+func (s *Server) PreferredServer(service, class, reserved string) string {
+	svc := s.find(service)
+	if svc == nil || reserved == "" {
+		return ""
+	}
+	return svc.preferredServer(class, reserved)
+}
+
+// InService reports whether the server of the service is in service.
+func (s *Server) InService(service, server string) bool {
 	for _, k := range s.desired.Load().servers[service] {
-		if k.Server.Zone == zone && !k.Leaving && (first == "" || k.Server.Name < first) {
-			first = k.Server.Name
+		if k.Server.Name == server {
+			return !k.Leaving
 		}
 	}
-	return first
+	return false
+}
+
+// ServerNearZone returns the name of the service's first server by name in the availability zone, or
+// of its first one in any zone if none is in service there; empty if none is in service.
+func (s *Server) ServerNearZone(service, zone string) string {
+	inZone, anywhere := "", ""
+	for _, k := range s.desired.Load().servers[service] {
+		name := k.Server.Name
+		if k.Leaving {
+			continue
+		}
+		if anywhere == "" || name < anywhere {
+			anywhere = name
+		}
+		if k.Server.Zone == zone && (inZone == "" || name < inZone) {
+			inZone = name
+		}
+	}
+	if inZone == "" {
+		return anywhere
+	}
+	return inZone
 }
 
 // OpenLegs returns the number of legs in progress at this host's homes.
--- a/homeserver/service.go
+++ b/homeserver/service.go
@@ -136,20 +136,21 @@
 		taken = true
 		s.legs[id] = &openLeg{request: request, done: done, submittedAt: now, queueTime: leg.UnknownQueueTime}
 		return s.home.Submit(now, home.Leg{
-			ID:           id,
-			Request:      request.Request,
-			Class:        s.home.ClassIndex(request.Class),
-			Caller:       request.Caller,
-			Deadline:     request.Deadline,
-			Idempotent:   request.Idempotent,
-			Fingerprint:  request.Fingerprint,
-			Bytes:        len(request.Body),
-			SoftDeadline: request.SoftDeadline,
-			Optional:     request.Optional,
-			MaxServers:   request.MaxServers,
-			PinnedServer: request.PinnedServer,
-			Regions:      regionsOf(request),
-			Forwarded:    request.Forward != nil,
+			ID:             id,
+			Request:        request.Request,
+			Class:          s.home.ClassIndex(request.Class),
+			Caller:         request.Caller,
+			Deadline:       request.Deadline,
+			Idempotent:     request.Idempotent,
+			Fingerprint:    request.Fingerprint,
+			Bytes:          len(request.Body),
+			SoftDeadline:   request.SoftDeadline,
+			Optional:       request.Optional,
+			MaxServers:     request.MaxServers,
+			PinnedServer:   request.PinnedServer,
+			ReservedServer: request.ReservedServer,
+			Regions:        regionsOf(request),
+			Forwarded:      request.Forward != nil,
 		}, acts)
 	})
 	return taken
@@ -362,6 +363,12 @@
 	return s.home.Forecast(s.server.now(), s.home.ClassIndex(class))
 }
 
+func (s *service) preferredServer(class, reserved string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.home.PreferredServer(s.server.now(), s.home.ClassIndex(class), reserved)
+}
+
 func (s *service) openLegs() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/leg/leg.go
+++ b/leg/leg.go
@@ -41,6 +41,10 @@
 	// FailedHome is the home that was lost while it had the leg, which may have run
 	// there; empty if none.
 	FailedHome ident.HostID
+	// ReservedServer names the backend server on which another host runs the leg if its home
+	// is lost; empty if no host does. With a limit on the servers, the home may use one server
+	// less beside it, so that the limit holds for both hosts together.
+	ReservedServer string
 	// PinnedServer names the only server that the home may send the leg to; empty means
 	// any.
 	PinnedServer string
@@ -91,6 +95,9 @@
 type Forecast struct {
 	QueueTime   time.Duration // time until a slot is free
 	ServiceTime time.Duration // typical service time after that
+	// PreferredServer is the server that the home prefers to the one that was reserved for the
+	// leg; empty if it prefers none.
+	PreferredServer string
 	// Unresponsive is set if no server of the service answers or accepts legs.
 	Unresponsive bool
 }
--- a/scatter/admission_test.go
+++ b/scatter/admission_test.go
@@ -25,6 +25,8 @@
 
 func (h *busyHomes) Lookup(string) (home, fallback ident.HostID) { return "self", "" }
 
+func (h *busyHomes) Reserve(string, ident.HostID) string { return "" }
+
 func (h *busyHomes) Runner(ident.HostID) (leg.Runner, bool) { return h, true }
 
 func (h *busyHomes) Forecast(service, _ string) leg.Forecast { return h.forecast[service] }
--- a/scatter/coordinator.go
+++ b/scatter/coordinator.go
@@ -17,6 +17,9 @@
 	// Lookup returns the home of the service and the host that takes over when the
 	// home is lost; empty when there is none.
 	Lookup(service string) (home, fallback ident.HostID)
+	// Reserve names the backend server on which another host runs a leg of the service if the
+	// host, its home, is lost; empty if no server is known.
+	Reserve(service string, host ident.HostID) (server string)
 	// Runner returns what runs legs at a host; false when the host is unknown.
 	Runner(host ident.HostID) (leg.Runner, bool)
 	// Forecast predicts the queue and service time of a leg of the class sent now.
@@ -85,8 +88,9 @@
 	sentTo  []ident.HostID
 	// optional marks the shards that the query can do without.
 	optional   []bool
-	failedOver []bool // legs that were sent to a second home
-	mayHaveRun []bool // of these, legs that may have run at the lost home
+	failedOver []bool   // legs that were sent to a second home
+	mayHaveRun []bool   // of these, legs that may have run at the lost home
+	reserved   []string // servers of the legs whose home may be lost; see Homes.Reserve
 	started    time.Time
 	timings    []LegTiming
 	ended      atomic.Bool
@@ -115,6 +119,7 @@
 		sentTo:     make([]ident.HostID, len(shards)),
 		failedOver: make([]bool, len(shards)),
 		mayHaveRun: make([]bool, len(shards)),
+		reserved:   make([]string, len(shards)),
 		started:    c.now(),
 		timings:    make([]LegTiming, len(shards)),
 		canary:     noCanary,
@@ -265,6 +270,9 @@
 }
 
 func (r *run) send(i int, host ident.HostID) {
+	if !r.failedOver[i] && r.maxServers(i) != 1 {
+		r.reserved[i] = r.c.homes.Reserve(r.spec.Snapshot.Shards[i].Service, host)
+	}
 	request := r.request(i)
 	if r.mayHaveRun[i] {
 		request.FailedHome = r.sentTo[i]
@@ -291,21 +299,22 @@
 func (r *run) request(i int) leg.Request {
 	shard := r.spec.Snapshot.Shards[i]
 	return leg.Request{
-		Request:      r.spec.Request,
-		Service:      shard.Service,
-		Index:        r.spec.Index,
-		Shard:        shard.ID,
-		Snapshot:     r.spec.Snapshot.Version,
-		Class:        r.spec.Class,
-		Caller:       r.spec.Caller,
-		Deadline:     r.legDeadline(),
-		Idempotent:   r.spec.Idempotent,
-		Fingerprint:  r.spec.Fingerprint,
-		Body:         r.spec.Body,
-		SoftDeadline: r.softCutOff(),
-		Optional:     r.optional != nil && r.optional[i],
-		MaxServers:   r.maxServers(i),
-		Forward:      r.spec.Forward,
+		Request:        r.spec.Request,
+		Service:        shard.Service,
+		Index:          r.spec.Index,
+		Shard:          shard.ID,
+		Snapshot:       r.spec.Snapshot.Version,
+		Class:          r.spec.Class,
+		Caller:         r.spec.Caller,
+		Deadline:       r.legDeadline(),
+		Idempotent:     r.spec.Idempotent,
+		Fingerprint:    r.spec.Fingerprint,
+		Body:           r.spec.Body,
+		SoftDeadline:   r.softCutOff(),
+		Optional:       r.optional != nil && r.optional[i],
+		MaxServers:     r.maxServers(i),
+		ReservedServer: r.reserved[i],
+		Forward:        r.spec.Forward,
 	}
 }
 
--- a/scatter/failover.go
+++ b/scatter/failover.go
@@ -8,7 +8,9 @@
 // failOver sends a leg to another home when the one that has it is lost, and reports
 // whether it did. Without it, every query's leg for the services of a lost entry
 // host would be missing until membership notices. A leg fails over only once,
-// and one that may have run only if it is idempotent.
+// and one that may have run only if it is idempotent. The home may still run it, or have run
+// it on any servers that it was allowed; where their number is limited, the leg fails over only to
+// the server that was reserved for this.
 func (r *run) failOver(res legResult) bool {
 	if !homeLost(res.result.Code) || r.failedOver[res.shard] {
 		return false
@@ -16,6 +18,9 @@
 	if !res.result.Outcome.NotRun() && !r.spec.Idempotent {
 		return false
 	}
+	if !res.result.Outcome.NotRun() && r.maxServers(res.shard) > 0 && r.reserved[res.shard] == "" {
+		return false
+	}
 	other := r.otherHome(res.shard)
 	if other == "" {
 		return false
