--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/goldcrestspan/goldcrestspan/homeserver"
 	"github.com/goldcrestspan/goldcrestspan/ident"
 	"github.com/goldcrestspan/goldcrestspan/internal/controlloop"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/observe"
@@ -265,9 +266,12 @@
 		g.cancelRun()
 		return nil
 	})
-	return group.Wait()
+	return wait.All(g.runCtx, group.Wait, endTimeout)
 }
 
+// endTimeout bounds how long the parts of this host take to end after its planned stop.
+const endTimeout = 2 * time.Second
+
 // control runs events one at a time; only it changes the configuration in force.
 func (g *Gateway) control(ctx context.Context) error {
 	defer close(g.controlDone)
--- a/host.go
+++ b/host.go
@@ -23,6 +23,7 @@
 	"github.com/goldcrestspan/goldcrestspan/exchange"
 	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/front"
+	"github.com/goldcrestspan/goldcrestspan/internal/wait"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
 	"github.com/goldcrestspan/goldcrestspan/result"
 	"github.com/goldcrestspan/goldcrestspan/settings"
@@ -165,9 +166,12 @@
 		h.cancel()
 		return nil
 	})
-	return group.Wait()
+	return wait.All(h.runCtx, group.Wait, endTimeout)
 }
 
+// endTimeout bounds how long the parts of this host take to end after its planned stop.
+const endTimeout = 2 * time.Second
+
 func (h *Host) callerServer() *http.Server {
 	limits := h.components.Settings.Limits
 	return &http.Server{
