--- a/discover/substitute.go
+++ b/discover/substitute.go
@@ -8,9 +8,8 @@
 
 const (
 	// substituteAfter is the age of the newest contact of any host with the store from which other
-	// hosts watch in place of the watchers, in a fleet of smallFleet hosts. Eight watchers whose
-	// watches end at random reach the store every second, and one answer in ten thousand takes 5.7 s
-	// to be heard of by all of 26 hosts.
+	// hosts watch in place of the watchers, in a fleet of smallFleet hosts: longer than the longest
+	// pause between two answers that all hosts hear of while the store answers the watchers.
 	substituteAfter = 6 * time.Second
 	// smallFleet and substituteDelayPerDoubling raise that age with the fleet's size, since it takes
 	// news longer to reach every host.
--- a/homeserver/callbacks_test.go
+++ b/homeserver/callbacks_test.go
@@ -66,8 +66,8 @@
 	return r
 }
 
-// reenter counts the callback and calls the server. A Refresh in each callback would never end
-// while a callback of Refresh causes the next one.
+// reenter counts the callback and calls the server. Only the first call of each kind refreshes, since
+// a Refresh leads to callbacks again.
 func (r *reentrantServer) reenter(callback string) {
 	r.mu.Lock()
 	r.calls[callback]++
@@ -98,7 +98,7 @@
 	})
 }
 
-// servers returns one server with one slot, or none in service.
+// servers returns one server with one slot, which may be leaving.
 func (r *reentrantServer) servers(leaving bool) map[string][]KnownServer {
 	return map[string][]KnownServer{"s": {{Server: backend.Server{Name: "a", Service: "s", Zone: "zone"}, Leaving: leaving, Slots: 1}}}
 }
