--- a/homeserver/callbacks_test.go
+++ b/homeserver/callbacks_test.go
@@ -213,3 +213,23 @@
 		svc.mu.Unlock()
 	}
 }
+
+// Guards against a home that keeps older servers until its next leg: they change after the home was
+// created and before it is in the table.
+func TestHomeOpenedBesideAChangeFollowsIt(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(configWith(t, 1, "class"))
+	changed := false
+	s.SetConfigOverride(func(*home.Config) {
+		if !changed {
+			changed = true
+			s.SetServers(map[string][]KnownServer{"s": {{Server: backend.Server{Name: "b", Service: "s"}}}})
+		}
+	})
+	receive(t, s.run("class"))
+	is.True(changed)
+	svc := s.find("s")
+	is.Equal(svc.followed.Load(), s.desired.Load())
+	_, known := svc.servers["b"]
+	is.True(known)
+}
--- a/homeserver/server.go
+++ b/homeserver/server.go
@@ -236,7 +236,8 @@
 	if svc == nil {
 		svc = s.openHome(request.Service, desired)
 	}
-	svc.follow(desired)
+	// The newest state, since a home that was just opened isn't reached by a change that came before.
+	svc.follow(s.desired.Load())
 	return svc, nil
 }
 
