--- a/components_control.go
+++ b/components_control.go
@@ -59,12 +59,11 @@
 		Logger:       log,
 	})
 	return rollout.NewAgent(rollout.AgentConfig{
-		Address:   l.peers.Addr().String(),
-		Store:     store,
-		Peers:     pool,
-		Signers:   signers,
-		IsWatcher: role.IsWatcher,
-
+		Address:        l.peers.Addr().String(),
+		Store:          store,
+		Peers:          pool,
+		Signers:        signers,
+		IsWatcher:      role.IsWatcher,
 		OnStoreContact: role.NoteContact,
 		PeerAddresses:  func() []string { return peerAddresses(members.View(), s.Peers) },
 		Now:            now,
--- a/discover/role.go
+++ b/discover/role.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 // RoleConfig configures a Role. All fields are required.
@@ -66,20 +68,12 @@
 	r.mu.Unlock()
 	if watches != before {
 		r.config.Logger.Info("substitute for the watchers of the metadata store", zap.Bool("watches", watches), zap.String("prefix", r.config.List),
-			contactField("own_contact_ago", now, ownContact), contactField("peers_contact_ago", now, peersContact),
+			observe.Since("own_contact_ago", now, ownContact), observe.Since("peers_contact_ago", now, peersContact),
 			zap.Int("rank", in.Rank), zap.Int("candidates", in.Candidates))
 	}
 	return watches
 }
 
-// contactField is a log field of the age of a contact; without one if there was none.
-func contactField(key string, now, at time.Time) zap.Field {
-	if at.IsZero() {
-		return zap.Skip()
-	}
-	return zap.Duration(key, now.Sub(at))
-}
-
 // WatchLimit bounds the next watch of a substitute; 0: no bound.
 func (r *Role) WatchLimit() time.Duration {
 	r.mu.Lock()
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -10,6 +10,7 @@
 	"github.com/goldcrestspan/goldcrestspan/freshness"
 	"github.com/goldcrestspan/goldcrestspan/member"
 	"github.com/goldcrestspan/goldcrestspan/metastore"
+	"github.com/goldcrestspan/goldcrestspan/observe"
 )
 
 // trackers track the versions of what this host follows: the configuration by the operator's
@@ -123,17 +124,8 @@
 	g.log.Warn("a newer version is not in force", zap.String("kind", kind),
 		zap.Uint64("in_force", s.InForce), zap.Uint64("newest", s.Newest), zap.String("newest_by", s.NewestBy),
 		zap.Duration("known_for", s.Behind(now)), zap.String("obstacle", string(s.Obstacle)),
-		zap.String("confirmed_by", s.Confirmed.By), sinceField("confirmed_ago", now, s.Confirmed.At),
-		sinceField("store_ago", now, g.configs.LastContact()), sinceField("peers_ago", now, g.members.LastPeerContact()),
+		zap.String("confirmed_by", s.Confirmed.By), observe.Since("confirmed_ago", now, s.Confirmed.At),
+		observe.Since("store_ago", now, g.configs.LastContact()), observe.Since("peers_ago", now, g.members.LastPeerContact()),
 		zap.Int("member_queue", members.Queued), zap.Duration("member_busy", members.Busy),
 		zap.Int("gateway_queue", control.Queued), zap.Duration("gateway_busy", control.Busy))
 }
-
-// sinceField is a log field of the time that has passed since an event; without one if it never
-// happened.
-func sinceField(key string, now, at time.Time) zap.Field {
-	if at.IsZero() {
-		return zap.Skip()
-	}
-	return zap.Duration(key, now.Sub(at))
-}
--- a/observe/log.go
+++ b/observe/log.go
@@ -1,6 +1,8 @@
 package observe
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -38,3 +40,11 @@
 func Revision(key string, revision metastore.Revision) zap.Field {
 	return zap.Stringer(key, revision)
 }
+
+// Since returns a field with the time that has passed since an event; none if it never happened.
+func Since(key string, now, at time.Time) zap.Field {
+	if at.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration(key, now.Sub(at))
+}
